--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Two commands on a fresh machine: `make demo` and `make test`.
+PYTHON ?= python3.11
+BIN := .venv/bin
+
+.PHONY: setup demo test check bench
+
+setup: .venv/.ready
+
+.venv/.ready: requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+	    $(foreach d,$(wildcard packages/*),-e $(d))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m burdockfront_bench.demo
+
+check: setup
+	$(BIN)/ruff format --check packages tests features
+	$(BIN)/ruff check packages tests features
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+test: check
+	$(BIN)/python -m pytest
+	$(BIN)/behave
+
+bench: setup
+	$(BIN)/python -m burdockfront_bench.bench all
--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -0,0 +1,351 @@
+"""Starts and ends a small system of real processes on this machine.
+
+Only the bench and the tests start processes; the product starts none.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+from typing import Any
+
+import aiohttp
+import orjson
+import yaml
+
+PEER_KEY = "bench-peer-key-0123456789"
+OPERATOR_KEY = "bench-operator-key-01234567"
+_START_PATIENCE_S = 60.0
+_POLL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service of the call graph.
+
+    Attributes:
+        name: Its name.
+        upstreams: Number of backend servers.
+        slots: Slots of each.
+        queue: Requests that may wait inside a backend server.
+        routes: By "METHOD /path": own work and deeper calls.
+    """
+
+    name: str
+    upstreams: int
+    slots: int
+    routes: dict[str, dict[str, Any]]
+    queue: int = 8
+
+
+@dataclasses.dataclass(slots=True)
+class Machine:
+    """A stand-in of a VM: a node and its backend server."""
+
+    name: str
+    service: str
+    data_center: str
+    region: str
+    caller: str
+    internal: str
+    backend: str
+    node_process: asyncio.subprocess.Process | None = None
+    backend_process: asyncio.subprocess.Process | None = None
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that are free now."""
+    held = []
+    for _ in range(count):
+        holder = socket.socket()
+        holder.bind(("127.0.0.1", 0))
+        held.append(holder)
+    ports = [holder.getsockname()[1] for holder in held]
+    for holder in held:
+        holder.close()
+    return ports
+
+
+@dataclasses.dataclass(slots=True)
+class Layout:
+    """What to start.
+
+    Attributes:
+        services: Services of the call graph.
+        data_centers: Machines are spread over these in turn.
+        regions: Region by data centre.
+        platform: Whether there is a platform stand-in.
+        embedded: Backend servers embed the router.
+        with_backends: Whether backend servers run, or only nodes.
+        node_settings: More settings for all nodes.
+    """
+
+    services: list[Service]
+    data_centers: list[str] = dataclasses.field(default_factory=lambda: ["dc1"])
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    platform: bool = True
+    embedded: bool = False
+    with_backends: bool = True
+    node_settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+class Cluster:
+    """A running system.
+
+    Args:
+        layout: What to start.
+        directory: Where settings and logs go.
+    """
+
+    def __init__(self, layout: Layout, directory: pathlib.Path):
+        self.layout = layout
+        self.directory = directory
+        self.machines: list[Machine] = []
+        self.platform = ""
+        self.platform_process: asyncio.subprocess.Process | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._logs: list[Any] = []
+        self._plan()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """A client session for questions to the processes."""
+        assert self._session is not None
+        return self._session
+
+    def _plan(self) -> None:
+        layout = self.layout
+        count = sum(service.upstreams for service in layout.services)
+        ports = iter(free_ports(3 * count + 1))
+        self.platform = f"127.0.0.1:{next(ports)}" if layout.platform else ""
+        index = 0
+        for service in layout.services:
+            for number in range(service.upstreams):
+                center = layout.data_centers[index % len(layout.data_centers)]
+                self.machines.append(
+                    Machine(
+                        f"{service.name}-{number + 1}",
+                        service.name,
+                        center,
+                        layout.regions.get(center, "r1"),
+                        f"127.0.0.1:{next(ports)}",
+                        f"127.0.0.1:{next(ports)}",
+                        f"127.0.0.1:{next(ports)}",
+                    )
+                )
+                index += 1
+
+    async def start(self) -> None:
+        """Starts all processes and waits until everybody knows everybody."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        if self.platform:
+            await self.start_platform()
+        for machine in self.machines:
+            await self.start_node(machine)
+        for machine in self.machines:
+            if self.layout.with_backends:
+                await self.start_backend(machine)
+        await self.wait_until_known(len(self.machines))
+
+    async def start_platform(self) -> None:
+        """Starts the platform stand-in."""
+        self.platform_process = await self._spawn(
+            "platform",
+            "burdockfront_bench.standins.platform",
+            "--address",
+            self.platform,
+        )
+
+    async def start_node(self, machine: Machine) -> None:
+        """Starts a node."""
+        path = self.directory / f"{machine.name}.yaml"
+        path.write_text(yaml.safe_dump(self.settings_of(machine)))
+        machine.node_process = await self._spawn(
+            f"{machine.name}.node",
+            "burdockfront_node.main",
+            "run",
+            str(path),
+        )
+
+    async def start_backend(self, machine: Machine, **changes: Any) -> None:
+        """Starts a backend server."""
+        service = self.service_of(machine)
+        spec = {
+            "service": service.name,
+            "address": machine.backend,
+            "node_caller": machine.caller,
+            "node_internal": machine.internal,
+            "peer_key": PEER_KEY,
+            "slots": service.slots,
+            "queue": service.queue,
+            "routes": service.routes,
+            "embedded": self.layout.embedded,
+            "seed": self.machines.index(machine) + 1,
+            **changes,
+        }
+        path = self.directory / f"{machine.name}.json"
+        path.write_bytes(orjson.dumps(spec))
+        machine.backend_process = await self._spawn(
+            f"{machine.name}.backend",
+            "burdockfront_bench.standins.backend",
+            str(path),
+        )
+
+    def service_of(self, machine: Machine) -> Service:
+        """Returns the service of a machine."""
+        return next(
+            s for s in self.layout.services if s.name == machine.service
+        )
+
+    def settings_of(self, machine: Machine) -> dict[str, Any]:
+        """Returns the settings of a node."""
+        seeds = [m.internal for m in self.machines[:3]]
+        settings: dict[str, Any] = {
+            "node_id": machine.name,
+            "data_center": machine.data_center,
+            "region": machine.region,
+            "caller_address": machine.caller,
+            "internal_address": machine.internal,
+            "peer_keys": [PEER_KEY],
+            "operator_keys": [OPERATOR_KEY],
+            "seeds": [s for s in seeds if s != machine.internal],
+            "gossip": {"period_s": 0.5},
+            "drain": {"notice_s": 0.7, "linger_s": 0.3},
+            **self.layout.node_settings,
+        }
+        if self.platform:
+            settings["platform"] = {
+                "address": self.platform,
+                "watch_s": 5.0,
+                "rate_per_s": 5.0,
+            }
+        return settings
+
+    def machine(self, name: str) -> Machine:
+        """Returns a machine by name."""
+        return next(m for m in self.machines if m.name == name)
+
+    def of_service(self, service: str) -> list[Machine]:
+        """Returns the machines of a service."""
+        return [m for m in self.machines if m.service == service]
+
+    async def operator(
+        self, machine: Machine, path: str, message: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Asks a node as an operator."""
+        return await self.ask(
+            machine.internal, f"/operator/{path}", message, OPERATOR_KEY
+        )
+
+    async def ask(
+        self, address: str, path: str, message: dict[str, Any], key: str
+    ) -> dict[str, Any]:
+        """Sends a JSON message and returns the answer."""
+        async with self.session.post(
+            f"http://{address}{path}",
+            data=orjson.dumps(message),
+            headers={"Authorization": f"Bearer {key}"},
+            timeout=aiohttp.ClientTimeout(total=10.0),
+        ) as response:
+            answer: dict[str, Any] = orjson.loads(await response.read())
+            return answer
+
+    async def control_platform(self, **faults: Any) -> None:
+        """Sets faults of the platform stand-in."""
+        await self.ask(self.platform, "/control", faults, "")
+
+    async def control_backend(self, machine: Machine, **wanted: Any) -> None:
+        """Changes the behaviour of a backend server."""
+        await self.ask(machine.backend, "/_control", wanted, "")
+
+    async def ledger(self, machine: Machine) -> dict[str, Any]:
+        """Returns counts and runs of a backend server."""
+        async with self.session.get(
+            f"http://{machine.backend}/_ledger",
+            timeout=aiohttp.ClientTimeout(total=5.0),
+        ) as response:
+            document: dict[str, Any] = orjson.loads(await response.read())
+            return document
+
+    async def wait_until_known(self, count: int) -> None:
+        """Waits until every node is ready and knows `count` members."""
+        until_s = time.monotonic() + _START_PATIENCE_S
+        missing = list(self.machines)
+        while missing:
+            missing = [m for m in missing if not await self._knows(m, count)]
+            if not missing:
+                return
+            if time.monotonic() > until_s:
+                names = ", ".join(m.name for m in missing)
+                raise TimeoutError(
+                    f"nodes not ready: {names}; read their logs in "
+                    f"{self.directory}."
+                )
+            await asyncio.sleep(_POLL_S)
+
+    async def _knows(self, machine: Machine, count: int) -> bool:
+        try:
+            status = await self.operator(machine, "status", {})
+            known = await self.operator(machine, "members", {})
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+        alive = [
+            m
+            for m in known["members"]
+            if m["status"] == "alive"
+            and (m["service"] or not self.layout.with_backends)
+        ]
+        return bool(status["ready"]) and len(alive) >= count
+
+    async def stop(self) -> None:
+        """Ends everything that this cluster started."""
+        if self._session is not None:
+            await self._session.close()
+        processes = [self.platform_process]
+        for machine in self.machines:
+            processes += [machine.backend_process, machine.node_process]
+        for process in processes:
+            if process is not None and process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+        for process in processes:
+            if process is not None:
+                await process.wait()
+        for log in self._logs:
+            log.close()
+
+    async def _spawn(
+        self, name: str, module: str, *arguments: str
+    ) -> asyncio.subprocess.Process:
+        log = (self.directory / f"{name}.log").open("ab")
+        self._logs.append(log)
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(layout: Layout) -> Any:
+    """Starts a cluster and ends it whatever happens."""
+    with tempfile.TemporaryDirectory(prefix="burdockfront-") as name:
+        cluster = Cluster(layout, pathlib.Path(name))
+        try:
+            await cluster.start()
+            yield cluster
+        finally:
+            await cluster.stop()
--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that are not part of the public surface."""
--- /dev/null
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -0,0 +1,110 @@
+"""Calls and attempts, as the dispatcher and the guard exchange them."""
+
+import dataclasses
+import enum
+import time
+
+from burdockfront import allowance
+from burdockfront import context as context_lib
+from burdockfront import outcomes
+from burdockfront import policy
+from burdockfront import tickets
+from burdockfront_client import attempts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call to a service, from an entry or from an upper layer.
+
+    Attributes:
+        service: Wanted service.
+        method: HTTP method.
+        target: Path and query below the service.
+        headers: End-to-end headers.
+        body: The whole body.
+        context: Context of this call, before any attempt.
+        deadline_s: Monotonic time at which the answer is worthless.
+        pool: Allowance that retries are taken from.
+        ticket: The caller's ticket, for a call that must not repeat.
+    """
+
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    context: context_lib.RequestContext
+    deadline_s: float
+    pool: allowance.AllowancePool
+    ticket: tickets.Ticket | None = None
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether repeating the call does no harm."""
+        return self.method in policy.IDEMPOTENT_METHODS
+
+
+def deeper_call(
+    parent: attempts.OpenAttempt,
+    service: str,
+    method: str,
+    target: str,
+    headers: tuple[tuple[str, str], ...],
+    body: bytes,
+    longest_s: float,
+) -> Call:
+    """Returns a call that a backend server makes for an open attempt.
+
+    It inherits identity and priority, may spend what is left of the
+    attempt's allowance, and can't outlive the attempt.
+    """
+    now_s = time.monotonic()
+    deadline_s = min(parent.deadline_s, now_s + longest_s)
+    context = parent.context.narrowed(
+        attempt_id=parent.context.attempt_id,
+        remaining_s=deadline_s - now_s,
+        allowance=0,
+    )
+    return Call(
+        service, method, target, headers, body, context, deadline_s, parent.pool
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try of a call at one guard."""
+
+    call: Call
+    context: context_lib.RequestContext
+    ticket: tickets.Ticket | None
+
+
+class Fate(enum.Enum):
+    """What is known of an attempt.
+
+    `UNREACHED` proves that nothing was handed over; `LOST` proves nothing.
+    """
+
+    ANSWERED = "answered"
+    UNREACHED = "unreached"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """The fate of an attempt, with its answer if there is one."""
+
+    fate: Fate
+    answer: outcomes.Answer | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """What a dispatcher did, for metrics and checks."""
+
+    calls: int = 0
+    attempts: int = 0
+    retries: int = 0
+    reroutes: int = 0
+    early_refusals: int = 0
+    lost: int = 0
--- /dev/null
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -0,0 +1,336 @@
+"""Brings one call to an answer: choose, send, retry within the allowance.
+
+What may be done after an attempt follows from what is known of it:
+
+| known                  | idempotent          | ticket of ours | caller's |
+|------------------------|---------------------|----------------|----------|
+| `done`                 | return              | return         | return   |
+| provably not run       | reroute (bounded)   | reroute, with  | return   |
+|                        |                     | a new ticket   |          |
+| sent, answer lost      | retry (allowance)   | ask the same owner again  |
+|                        |                     | (allowance)               |
+
+A refusal says `not-run` only if every attempt of this call provably ran
+nowhere; one lost answer turns the end into `unknown`.
+"""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+from burdockfront import admission
+from burdockfront import allowance as allowance_lib
+from burdockfront import keyring as keyring_lib
+from burdockfront import levels
+from burdockfront import outcomes
+from burdockfront import policy as policy_lib
+from burdockfront import retries
+from burdockfront import routing
+from burdockfront import tickets
+from burdockfront import timeline
+from burdockfront_client import calls
+from burdockfront_client import sender as sender_lib
+
+_MIN_REMAINING_S = 0.002
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What is known so far of one call."""
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    reroutes: int = 0
+    hop_retries: int = 0
+    lost: bool = False
+    refusal: outcomes.Answer | None = None
+
+
+class Dispatcher:
+    """Sends calls to guards.
+
+    Args:
+        node_id: Name of this process, for attempt ids.
+        data_center: Where it runs.
+        keys: Keys that sign contexts and tickets.
+        policy_of: Returns the policy in force of a service.
+        recorder: Where events go.
+        ticket_lifetime_s: Lifetime of tickets minted here.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        data_center: str,
+        keys: keyring_lib.KeyRing,
+        policy_of: Callable[[str], policy_lib.Policy],
+        recorder: timeline.Recorder,
+        ticket_lifetime_s: float,
+        rng: random.Random,
+    ):
+        self.router = routing.Router(data_center, rng)
+        self.book = levels.LevelBook()
+        self.counters = calls.Counters()
+        self.sender = sender_lib.Sender(
+            node_id, keys, self.router, self.book, recorder, self.counters
+        )
+        self._node_id = node_id
+        self._policy_of = policy_of
+        self._ticket_lifetime_s = ticket_lifetime_s
+        self._rng = rng
+        self._ratios: dict[str, allowance_lib.RetryRatio] = {}
+
+    def new_id(self) -> str:
+        """Returns an id that no other process uses."""
+        return f"{self._node_id}-{self._rng.getrandbits(48):012x}"
+
+    def mint(
+        self, service: str, tried: frozenset[str] = frozenset()
+    ) -> tickets.Ticket | None:
+        """Returns a ticket of the guard that would be chosen now."""
+        owner = self.router.choose(service, tried, time.monotonic())
+        return self.mint_for(owner) if owner is not None else None
+
+    def mint_for(self, owner: routing.Target) -> tickets.Ticket:
+        """Returns a ticket that names one guard as its owner."""
+        return tickets.Ticket(
+            nonce=self.new_id(),
+            service=owner.service,
+            owner=owner.node_id,
+            boot_id=owner.boot_id,
+            expires_s=time.time() + self._ticket_lifetime_s,
+        )
+
+    async def call(self, call: calls.Call) -> outcomes.Answer:
+        """Brings a call to its final answer."""
+        self.counters.calls += 1
+        class_name = call.context.class_name
+        self.book.called(class_name, call.service, time.monotonic())
+        self._ratio(call.service).first_try()
+        if call.ticket is not None:
+            return await self._call_owner(call, call.ticket)
+        return await self._call_anyone(call)
+
+    async def _call_anyone(self, call: calls.Call) -> outcomes.Answer:
+        """A call that any guard may take, one of them at a time."""
+        progress = _Progress()
+        while True:
+            target = self._choose(call, progress)
+            if isinstance(target, outcomes.Answer):
+                return self._honest(target, progress)
+            progress.tried.add(target.node_id)
+            if call.idempotent:
+                sent = await self._send(call, target, None)
+            else:
+                sent = await self._send_once(call, target, progress)
+            final = self._judge(call, sent, progress)
+            if final is not None:
+                return self._honest(final, progress)
+
+    async def _send_once(
+        self, call: calls.Call, target: routing.Target, progress: _Progress
+    ) -> calls.Sent:
+        """Sends a call that must not repeat, with a ticket of our own.
+
+        Nobody else can have used this ticket, so its owner's refusal proves
+        that nothing ran and the caller of this method may ask another owner
+        with another ticket. A lost answer is asked for again here, from the
+        same owner, whose ledger replays it.
+        """
+        ticket = self.mint_for(target)
+        sent = await self._send(call, target, ticket)
+        asked = sent.fate is calls.Fate.LOST
+        while sent.fate is not calls.Fate.ANSWERED and asked:
+            if not self._may_retry(call, progress):
+                unknown = outcomes.unknown(outcomes.Reason.LOST_ANSWER)
+                return calls.Sent(calls.Fate.ANSWERED, unknown)
+            sent = await self._send(call, target, ticket)
+        return sent
+
+    async def _call_owner(
+        self, call: calls.Call, ticket: tickets.Ticket
+    ) -> outcomes.Answer:
+        """A call with the caller's ticket: only its owner may be asked.
+
+        Nothing but the owner's word proves `not-run` here: an earlier
+        attempt with the same ticket may be running at the owner.
+        """
+        progress = _Progress()
+        moves = 1 + self._policy_of(call.service).retry.reroutes
+        for _ in range(moves):
+            owner = self.router.find(call.service, ticket.owner)
+            if owner is None or owner.boot_id != ticket.boot_id:
+                return outcomes.unknown(outcomes.Reason.TICKET_OWNER_GONE)
+            answer = await self._ask_owner(call, owner, ticket, progress)
+            if answer.moved_to is None:
+                return answer
+            ticket = tickets.decode(answer.moved_to, self.sender.keys)
+        return outcomes.unknown(
+            outcomes.Reason.DRAINING, admission.RETRY_AFTER_S
+        )
+
+    async def _ask_owner(
+        self,
+        call: calls.Call,
+        owner: routing.Target,
+        ticket: tickets.Ticket,
+        progress: _Progress,
+    ) -> outcomes.Answer:
+        while True:
+            sent = await self._send(call, owner, ticket)
+            if sent.answer is not None:
+                return sent.answer
+            if not self._may_retry(call, progress):
+                return outcomes.unknown(
+                    outcomes.Reason.LOST_ANSWER, admission.RETRY_AFTER_S
+                )
+
+    def _judge(
+        self, call: calls.Call, sent: calls.Sent, progress: _Progress
+    ) -> outcomes.Answer | None:
+        """Returns the final answer, or None when the call goes on."""
+        if sent.fate is calls.Fate.UNREACHED:
+            refusal = outcomes.not_run(
+                outcomes.Reason.UNREACHABLE, admission.RETRY_AFTER_S
+            )
+            return self._after_refusal(call, refusal, progress)
+        if sent.answer is None:
+            lost = outcomes.unknown(
+                outcomes.Reason.LOST_ANSWER, admission.RETRY_AFTER_S
+            )
+            return self._after_loss(call, lost, progress)
+        if sent.answer.outcome is outcomes.Outcome.NOT_RUN:
+            return self._after_refusal(call, sent.answer, progress)
+        if sent.answer.outcome is outcomes.Outcome.UNKNOWN:
+            return self._after_loss(call, sent.answer, progress)
+        return self._after_done(call, sent.answer, progress)
+
+    def _after_loss(
+        self, call: calls.Call, lost: outcomes.Answer, progress: _Progress
+    ) -> outcomes.Answer | None:
+        progress.lost = True
+        if call.idempotent and self._may_retry(call, progress):
+            return None
+        return lost
+
+    def _after_done(
+        self, call: calls.Call, answer: outcomes.Answer, progress: _Progress
+    ) -> outcomes.Answer | None:
+        kind = self._retry_kind(call.service)
+        wanted = kind.retries_errors and answer.status >= 500
+        if wanted and call.idempotent and self._may_retry(call, progress):
+            return None
+        return answer
+
+    def _after_refusal(
+        self, call: calls.Call, refusal: outcomes.Answer, progress: _Progress
+    ) -> outcomes.Answer | None:
+        """Goes on elsewhere after a provable not-run, within a bound."""
+        progress.refusal = refusal
+        rules = self._policy_of(call.service).retry
+        if self._retry_kind(call.service).retries_refusals:
+            if self._may_retry(call, progress):
+                progress.tried.clear()
+                return None
+            return refusal
+        in_bound = progress.reroutes < rules.reroutes
+        if in_bound and self._ratio(call.service).retry():
+            progress.reroutes += 1
+            self.counters.reroutes += 1
+            return None
+        return refusal
+
+    async def _send(
+        self,
+        call: calls.Call,
+        target: routing.Target,
+        ticket: tickets.Ticket | None,
+    ) -> calls.Sent:
+        policy = self._policy_of(call.service)
+        timeout_s = max(_MIN_REMAINING_S, call.deadline_s - time.monotonic())
+        if ticket is None:
+            timeout_s = min(timeout_s, policy.attempt_timeout_s)
+        return await self.sender.send(
+            call, target, ticket, timeout_s, policy.body_limit_bytes
+        )
+
+    def _choose(
+        self, call: calls.Call, progress: _Progress
+    ) -> routing.Target | outcomes.Answer:
+        now_s = time.monotonic()
+        if call.deadline_s - now_s <= _MIN_REMAINING_S:
+            return outcomes.not_run(
+                outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
+            )
+        tried = frozenset(progress.tried)
+        target = self.router.choose(call.service, tried, now_s)
+        if target is None and progress.lost:
+            # All were tried; a lost answer may be asked for once more.
+            target = self.router.choose(call.service, frozenset(), now_s)
+        if target is None:
+            return self._no_target(call, progress)
+        if self._would_die(call, target, now_s):
+            self.counters.early_refusals += 1
+            return outcomes.not_run(
+                outcomes.Reason.OVERLOAD_DEEPER, admission.RETRY_AFTER_S
+            )
+        return target
+
+    def _would_die(
+        self, call: calls.Call, target: routing.Target, now_s: float
+    ) -> bool:
+        """Whether a new request is above the level of the chosen path."""
+        context = call.context
+        if context.depth > 0:
+            return False
+        level = self.book.level_of(
+            call.service, context.class_name, target.node_id, now_s
+        )
+        return context.priority > level
+
+    def _no_target(
+        self, call: calls.Call, progress: _Progress
+    ) -> outcomes.Answer:
+        if progress.refusal is not None:
+            return progress.refusal
+        known = self.router.targets_of(call.service)
+        reason = outcomes.Reason.NO_SUCH_SERVICE
+        if known or call.context.depth > 0:
+            reason = outcomes.Reason.NO_BACKEND
+        return outcomes.not_run(reason, admission.RETRY_AFTER_S)
+
+    def _honest(
+        self, answer: outcomes.Answer, progress: _Progress
+    ) -> outcomes.Answer:
+        """Returns `unknown` in place of a `not-run` that can't be proved."""
+        refused = answer.outcome is outcomes.Outcome.NOT_RUN
+        if not (refused and progress.lost):
+            return answer
+        reason = answer.reason or outcomes.Reason.LOST_ANSWER
+        return outcomes.unknown(reason, answer.retry_after_s)
+
+    def _may_retry(self, call: calls.Call, progress: _Progress) -> bool:
+        if call.deadline_s - time.monotonic() <= _MIN_REMAINING_S:
+            return False
+        permitted = self._retry_kind(call.service).permits(
+            call.pool,
+            self._ratio(call.service),
+            progress.hop_retries,
+            self._policy_of(call.service).retry,
+        )
+        if permitted:
+            progress.hop_retries += 1
+            self.counters.retries += 1
+        return permitted
+
+    def _retry_kind(self, service: str) -> retries.RetryKind:
+        return retries.KINDS.get(self._policy_of(service).retry.kind)()
+
+    def _ratio(self, service: str) -> allowance_lib.RetryRatio:
+        ratio = self._ratios.get(service)
+        if ratio is None:
+            share = self._policy_of(service).retry.ratio
+            ratio = allowance_lib.RetryRatio(share)
+            self._ratios[service] = ratio
+        return ratio
--- /dev/null
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -0,0 +1,188 @@
+"""One attempt: sends it to a guard and learns from what comes back."""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from burdockfront import context as context_lib
+from burdockfront import errors
+from burdockfront import keyring as keyring_lib
+from burdockfront import levels
+from burdockfront import outcomes
+from burdockfront import routing
+from burdockfront import tickets
+from burdockfront import timeline
+from burdockfront_client import calls
+from burdockfront_client import peers as peers_lib
+from burdockfront_client import wire
+
+# A guard gets a little less time than we wait, so that its own answer about
+# an expired deadline still reaches us.
+_ANSWER_MARGIN_S = 0.02
+
+LocalGuard = Callable[[calls.Attempt], Awaitable[outcomes.Answer]]
+
+
+class Sender:
+    """Sends attempts over the peers' connections.
+
+    Args:
+        node_id: Name of this process, for attempt ids.
+        keys: Keys that sign contexts and tickets.
+        router: Learns who answered.
+        book: Learns the levels on answers.
+        recorder: Where events go.
+        counters: What was done so far.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        keys: keyring_lib.KeyRing,
+        router: routing.Router,
+        book: levels.LevelBook,
+        recorder: timeline.Recorder,
+        counters: calls.Counters,
+    ):
+        self.peers = peers_lib.Peers()
+        self.keys = keys
+        self.local_guard: LocalGuard | None = None
+        self._node_id = node_id
+        self._router = router
+        self._book = book
+        self._recorder = recorder
+        self._counters = counters
+        self._sequence = itertools.count(1)
+
+    async def send(
+        self,
+        call: calls.Call,
+        target: routing.Target,
+        ticket: tickets.Ticket | None,
+        timeout_s: float,
+        limit_bytes: int,
+    ) -> calls.Sent:
+        """Sends one attempt and waits for its answer."""
+        attempt = self._attempt_of(call, ticket, timeout_s)
+        attempt_id = attempt.context.attempt_id
+        self._counters.attempts += 1
+        self._router.sent(target.node_id)
+        try:
+            answer = await self._transmit(
+                attempt, target, timeout_s, limit_bytes
+            )
+        except peers_lib.UnreachableError:
+            call.pool.give_back(attempt_id, attempt.context.allowance)
+            self._unanswered(call, target, unreachable=True)
+            return calls.Sent(calls.Fate.UNREACHED)
+        except errors.DispatchError:
+            call.pool.forfeit(attempt_id)
+            self._counters.lost += 1
+            self._unanswered(call, target, unreachable=False)
+            return calls.Sent(calls.Fate.LOST)
+        except asyncio.CancelledError:
+            call.pool.forfeit(attempt_id)
+            self._router.abandoned(target.node_id)
+            raise
+        call.pool.give_back(attempt_id, answer.unspent)
+        self._learn(call, target, answer)
+        return calls.Sent(calls.Fate.ANSWERED, answer)
+
+    def _attempt_of(
+        self,
+        call: calls.Call,
+        ticket: tickets.Ticket | None,
+        timeout_s: float,
+    ) -> calls.Attempt:
+        request_id = call.context.request_id
+        attempt_id = f"{request_id}.{self._node_id}.{next(self._sequence)}"
+        context = dataclasses.replace(
+            call.context,
+            attempt_id=attempt_id,
+            remaining_s=max(0.0, timeout_s - _ANSWER_MARGIN_S),
+            allowance=call.pool.lend(attempt_id),
+        )
+        return calls.Attempt(call, context, ticket)
+
+    async def _transmit(
+        self,
+        attempt: calls.Attempt,
+        target: routing.Target,
+        timeout_s: float,
+        limit_bytes: int,
+    ) -> outcomes.Answer:
+        if target.node_id == self._node_id and self.local_guard is not None:
+            return await self.local_guard(attempt)
+        call = attempt.call
+        reply = await self.peers.request(
+            target.address,
+            call.method,
+            f"{wire.CALL_PREFIX}{call.service}{call.target}",
+            self._headers(attempt),
+            call.body,
+            timeout_s,
+            limit_bytes,
+            fresh=attempt.ticket is not None,
+        )
+        answer, their_stamp = wire.decode_answer(
+            reply.header(wire.ANSWER),
+            attempt.context.attempt_id,
+            reply.status,
+            wire.end_to_end(reply.headers),
+            reply.body,
+        )
+        self._recorder.clock.observe(their_stamp, time.time())
+        return answer
+
+    def _headers(self, attempt: calls.Attempt) -> list[tuple[str, str]]:
+        stamp = self._recorder.clock.tick(time.time())
+        context = context_lib.encode(attempt.context, self.keys)
+        headers = [
+            *attempt.call.headers,
+            (context_lib.HEADER, context),
+            (wire.STAMP, str(stamp)),
+        ]
+        if attempt.ticket is not None:
+            key = tickets.encode(attempt.ticket, self.keys)
+            headers.append((wire.IDEMPOTENCY_KEY, key))
+        return headers
+
+    def _learn(
+        self,
+        call: calls.Call,
+        target: routing.Target,
+        answer: outcomes.Answer,
+    ) -> None:
+        now_s = time.monotonic()
+        self._router.answered(
+            target.node_id, answer.load, answer.draining, now_s
+        )
+        if answer.level is not None:
+            self._book.hear(
+                call.service,
+                call.context.class_name,
+                target.node_id,
+                answer.level,
+                now_s,
+            )
+
+    def _unanswered(
+        self, call: calls.Call, target: routing.Target, unreachable: bool
+    ) -> None:
+        ejected = self._router.unanswered(
+            target.node_id, unreachable, time.monotonic()
+        )
+        self._recorder.record(
+            time.time(),
+            "call.unanswered",
+            call.context.request_id,
+            target=target.node_id,
+            unreachable=unreachable,
+        )
+        if ejected:
+            self._recorder.record(
+                time.time(), "router.ejected", target=target.node_id
+            )
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/backend.py
@@ -0,0 +1,74 @@
+"""The backend server beside this node, as it announced itself.
+
+There is no list of backend servers: each one announces itself to its node
+about once a second. Its reports lag and mislead, so only three things of an
+announcement are used: the address, the slots (as an upper bound) and whether
+it is leaving. That it is silent is judged by time, and that it is broken by
+what becomes of the requests it is handed.
+"""
+
+import dataclasses
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from burdockfront import errors
+from burdockfront import policy
+
+SILENT_AFTER_S = 3.0
+
+
+class _AnnouncementModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    service: Annotated[str, pydantic.Field(pattern=r"^[a-z][a-z0-9-]{0,40}$")]
+    address: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f.:\[\]]+:\d+$")]
+    slots: int = pydantic.Field(ge=1, le=100_000)
+    state: str = pydantic.Field(
+        default="ready", pattern="^(ready|cold|draining)$"
+    )
+    load: float = 0.0
+    embedded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a backend server says of itself.
+
+    Attributes:
+        service: Its service.
+        address: Where it takes requests, `ip:port`.
+        slots: Requests that it serves at once.
+        state: `ready`, `cold` or `draining`.
+        load: Its own report, shown to operators only.
+        embedded: It routes its deeper calls itself, with the library.
+    """
+
+    service: str
+    address: str
+    slots: int
+    state: str
+    load: float
+    embedded: bool
+
+    @property
+    def draining(self) -> bool:
+        """Whether it wants no new work."""
+        return self.state == "draining"
+
+
+def parse_announcement(document: Any) -> Announcement:
+    """Validates an announcement.
+
+    Raises:
+        InvalidInputError: With path, expectation and remedy.
+    """
+    try:
+        model = _AnnouncementModel.model_validate(document)
+    except pydantic.ValidationError as error:
+        text = policy.explain("announcement", error)
+        raise errors.InvalidInputError(
+            f"{text} See docs/BACKENDS.md."
+        ) from None
+    return Announcement(**model.model_dump())
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
@@ -0,0 +1,68 @@
+"""The backend server's place in membership follows its announcements."""
+
+import asyncio
+import time
+
+from burdockfront import timeline
+from burdockfront_node import backend as backend_lib
+from burdockfront_node import guard as guard_lib
+from burdockfront_node.controllers import exchange as exchange_lib
+
+_CHECK_S = 0.25
+
+
+class Backends:
+    """Tells peers of the backend server beside this node."""
+
+    def __init__(
+        self,
+        guard: guard_lib.Guard,
+        exchange: exchange_lib.Exchange,
+        recorder: timeline.Recorder,
+    ):
+        self._guard = guard
+        self._exchange = exchange
+        self._recorder = recorder
+        self._heard_at_s = 0.0
+
+    def announce(self, announcement: backend_lib.Announcement) -> None:
+        """Takes an announcement."""
+        self._heard_at_s = time.monotonic()
+        before = self._guard.announcement
+        self._guard.announce(announcement)
+        if before is None or before.state != announcement.state:
+            self._recorder.record(
+                time.time(),
+                f"backend.{announcement.state}",
+                service=announcement.service,
+                slots=announcement.slots,
+            )
+        self.publish()
+
+    def publish(self) -> None:
+        """Updates this node's entry if it says anything else."""
+        announced = self._guard.announcement
+        service = announced.service if announced else ""
+        slots = announced.slots if announced else 0
+        draining = self._guard.draining
+        me = self._exchange.membership.me
+        if (me.service, me.slots, me.draining) != (service, slots, draining):
+            self._exchange.update_me(
+                service=service, slots=slots, draining=draining
+            )
+
+    async def watch_forever(self) -> None:
+        """Withdraws a backend server that no longer announces itself."""
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            silent_s = time.monotonic() - self._heard_at_s
+            announced = self._guard.announcement
+            if announced and silent_s > backend_lib.SILENT_AFTER_S:
+                self._recorder.record(
+                    time.time(),
+                    "backend.silent",
+                    service=announced.service,
+                    silent_s=round(silent_s, 2),
+                )
+                self._guard.withdraw()
+                self.publish()
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -0,0 +1,94 @@
+"""Sends metrics by statsd, a batch per interval.
+
+Sending one packet per event would cost more than the decisions; counters are
+kept as plain integers where they arise and sent as differences here. The page
+docs/METRICS.md lists each name, type and unit.
+"""
+
+import asyncio
+import dataclasses
+import resource
+
+import statsd
+
+from burdockfront_client import dispatcher as dispatcher_lib
+from burdockfront_node import guard as guard_lib
+from burdockfront_node import settings as settings_lib
+from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import platform as platform_lib
+
+_KIB = 1024
+
+
+class Metrics:
+    """Collects and sends."""
+
+    def __init__(
+        self,
+        settings: settings_lib.StatsdSettings | None,
+        node_id: str,
+        dispatcher: dispatcher_lib.Dispatcher,
+        guard: guard_lib.Guard,
+        exchange: exchange_lib.Exchange,
+        platform: platform_lib.PlatformClient | None,
+    ):
+        self._settings = settings
+        self._node_id = node_id
+        self._dispatcher = dispatcher
+        self._guard = guard
+        self._exchange = exchange
+        self._platform = platform
+        self._sent: dict[str, int] = {}
+
+    def counters(self) -> dict[str, int]:
+        """Returns all counters since the start."""
+        found: dict[str, int] = {}
+        for name, value in dataclasses.asdict(
+            self._dispatcher.counters
+        ).items():
+            found[f"router.{name}"] = value
+        for name, value in dataclasses.asdict(self._guard.counters).items():
+            found[f"guard.{name}"] = value
+        exchange = self._exchange
+        found["exchange.messages"] = exchange.messages
+        found["exchange.sent_bytes"] = exchange.sent_bytes
+        found["exchange.received_bytes"] = exchange.received_bytes
+        found["exchange.repairs"] = exchange.repairs
+        found["members.refuted"] = exchange.membership.refuted
+        found["peers.retired"] = self._dispatcher.sender.peers.retired
+        if self._platform is not None:
+            found["platform.calls"] = self._platform.calls
+            found["platform.failures"] = self._platform.failures
+        return found
+
+    def gauges(self) -> dict[str, float]:
+        """Returns values of this moment."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "guard.in_flight": self._guard.in_flight,
+            "guard.level": self._guard.level(),
+            "guard.load": round(self._guard.load(), 3),
+            "ledger.entries": len(self._guard.ledger),
+            "ledger.used_bytes": self._guard.ledger.used_bytes,
+            "members.known": len(self._exchange.membership.members()),
+            "policy.revision": self._exchange.configuration.revision(),
+            "process.cpu_s": round(usage.ru_utime + usage.ru_stime, 3),
+            "process.max_rss_bytes": usage.ru_maxrss * _KIB,
+        }
+
+    async def send_forever(self) -> None:
+        """Sends a batch per interval, if a receiver is set."""
+        if self._settings is None:
+            return
+        host, _, port = self._settings.address.rpartition(":")
+        client = statsd.StatsClient(
+            host, int(port), prefix=f"burdockfront.{self._node_id}"
+        )
+        while True:
+            await asyncio.sleep(self._settings.interval_s)
+            with client.pipeline() as batch:
+                for name, value in self.counters().items():
+                    batch.incr(name, value - self._sent.get(name, 0))
+                    self._sent[name] = value
+                for name, amount in self.gauges().items():
+                    batch.gauge(name, amount)
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
@@ -0,0 +1,174 @@
+"""Client of the platform's key-value service: writes, leases, watches.
+
+Every call is counted against this node's budget and passes a breaker, so an
+outage costs the service nothing and its end is not met by a stampede.
+"""
+
+import dataclasses
+import random
+import time
+from typing import Any
+
+import orjson
+
+from burdockfront import errors
+from burdockfront import leases
+from burdockfront import platform_budget
+from burdockfront_client import peers as peers_lib
+from burdockfront_node import settings as settings_lib
+
+_LIMIT_BYTES = 2_000_000
+_BURST = 8
+_FIRST_WAIT_S = 0.2
+_MOST_WAIT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key with its value and the revision that last changed it."""
+
+    key: str
+    value: dict[str, Any]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Items of a prefix at a revision of the whole store."""
+
+    revision: int
+    items: tuple[Item, ...]
+
+
+class WriteConflictError(errors.PlatformError):
+    """The key is not at the expected revision."""
+
+    def __init__(self, key: str, found: int):
+        super().__init__(
+            f"{key} is at revision {found}, not at the expected one; read it "
+            f"again and decide again."
+        )
+        self.found = found
+
+
+class PlatformClient:
+    """Asks the platform's service within a budget.
+
+    Args:
+        settings: Address, rate and timeouts.
+        rng: Source of randomness for waits.
+    """
+
+    def __init__(
+        self, settings: settings_lib.PlatformSettings, rng: random.Random
+    ):
+        self._settings = settings
+        self._peers = peers_lib.Peers()
+        self._budget = platform_budget.CallBudget(settings.rate_per_s, _BURST)
+        self.backoff = platform_budget.Backoff(_FIRST_WAIT_S, _MOST_WAIT_S, rng)
+        self.calls = 0
+        self.failures = 0
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Returns all items below a prefix.
+
+        Raises:
+            PlatformUnavailableError: No answer, or the budget is spent.
+        """
+        data = await self._ask("GET", f"/kv?prefix={prefix}", None, 0.0)
+        return _snapshot_of(data)
+
+    async def watch(self, prefix: str, after: int) -> Snapshot:
+        """Waits for items newer than a revision; may return none.
+
+        The wait is bounded on both sides: a watch whose connection went
+        silent ends by our own timeout and is made again on a new one.
+
+        Raises:
+            PlatformUnavailableError: No answer, or the budget is spent.
+        """
+        wait_s = self._settings.watch_s
+        target = f"/watch?prefix={prefix}&after={after}&wait_s={wait_s}"
+        return _snapshot_of(await self._ask("GET", target, None, wait_s))
+
+    async def write(
+        self, key: str, value: dict[str, Any], expected: int
+    ) -> int:
+        """Writes by compare-and-swap; 0 expects that the key is absent.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            WriteConflictError: The key has another revision.
+            PlatformUnavailableError: No answer: it may have taken effect.
+        """
+        body = {"value": value, "expected": expected}
+        data = await self._ask("PUT", f"/kv/{key}", body, 0.0)
+        if "conflict" in data:
+            raise WriteConflictError(key, data["conflict"])
+        return int(data["revision"])
+
+    async def acquire(
+        self, name: str, holder: str, duration_s: float
+    ) -> leases.Grant | None:
+        """Acquires or renews a lease; None when somebody else holds it.
+
+        Raises:
+            PlatformUnavailableError: No answer, or the budget is spent.
+        """
+        body = {"holder": holder, "duration_s": duration_s}
+        data = await self._ask("POST", f"/lease/{name}", body, 0.0)
+        if "fencing_token" not in data:
+            return None
+        return leases.Grant(name, int(data["fencing_token"]), duration_s)
+
+    async def close(self) -> None:
+        """Closes connections."""
+        await self._peers.close()
+
+    async def _ask(
+        self,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None,
+        wait_s: float,
+    ) -> dict[str, Any]:
+        now_s = time.monotonic()
+        if self.backoff.open(now_s) or not self._budget.take(now_s):
+            raise errors.PlatformUnavailableError(
+                "the platform service is not asked now (it failed lately, or "
+                "this node's call budget is spent); try again in seconds."
+            )
+        self.calls += 1
+        try:
+            reply = await self._peers.request(
+                self._settings.address,
+                method,
+                target,
+                {"Content-Type": "application/json"},
+                orjson.dumps(body) if body is not None else b"",
+                wait_s + self._settings.timeout_s,
+                _LIMIT_BYTES,
+                fresh=True,
+            )
+            if reply.status not in (200, 409):
+                raise errors.DispatchError(f"status {reply.status}")
+            data: dict[str, Any] = orjson.loads(reply.body)
+        except (errors.DispatchError, orjson.JSONDecodeError) as error:
+            self.failures += 1
+            self.backoff.failed(time.monotonic())
+            raise errors.PlatformUnavailableError(
+                f"the platform service at {self._settings.address} did not "
+                f"answer ({error}); configuration stays as it is."
+            ) from None
+        self.backoff.succeeded()
+        return data
+
+
+def _snapshot_of(data: dict[str, Any]) -> Snapshot:
+    items = tuple(
+        Item(item["key"], item["value"], item["revision"])
+        for item in data["items"]
+    )
+    return Snapshot(data["revision"], items)
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
@@ -0,0 +1,251 @@
+"""Policies between the platform's service and the nodes.
+
+Few nodes per data centre watch the service; all others hear from their peers.
+Who watches follows from the members' names alone, so it needs no agreement:
+if views differ for a while, one node more or less watches, which is harmless.
+"""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+import xxhash
+
+from burdockfront import configuration as configuration_lib
+from burdockfront import errors
+from burdockfront import membership as membership_lib
+from burdockfront import policy
+from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import platform as platform_lib
+
+_LOG = logging.getLogger(__name__)
+
+PREFIX = "burdockfront/policy/"
+WATCHERS_PER_DATA_CENTER = 2
+_HISTORY = 20
+_IDLE_S = 1.0
+_SETTLE_TRIES = 5
+_SETTLE_WAIT_S = 0.3
+
+
+class Policies:
+    """Reads, watches and writes documents.
+
+    Args:
+        platform: Client of the platform's service; None runs without one.
+        exchange: Passes documents on to peers.
+    """
+
+    def __init__(
+        self,
+        platform: platform_lib.PlatformClient | None,
+        exchange: exchange_lib.Exchange,
+    ):
+        self._platform = platform
+        self._exchange = exchange
+        self._after = 0
+
+    async def read(self) -> bool:
+        """Reads all documents; False when the service can't be asked."""
+        if self._platform is None:
+            return False
+        try:
+            self._take(await self._platform.read(PREFIX))
+        except errors.PlatformUnavailableError as error:
+            _LOG.warning("policies not read", extra={"why": str(error)})
+            return False
+        return True
+
+    async def watch_forever(self) -> None:
+        """Watches while this node is one of its data centre's watchers."""
+        if self._platform is None:
+            return
+        while True:
+            if not self.watching():
+                await asyncio.sleep(_IDLE_S)
+                continue
+            try:
+                self._take(await self._platform.watch(PREFIX, self._after))
+            except errors.PlatformUnavailableError:
+                await asyncio.sleep(_IDLE_S)
+
+    def watching(self) -> bool:
+        """Whether this node is one of its data centre's watchers."""
+        me = self._exchange.membership.me
+        return me.node_id in watchers_of(
+            self._exchange.membership.usable(), me.data_center
+        )
+
+    async def change(
+        self,
+        service: str,
+        path: str,
+        value: object,
+        expected: int | None,
+        who: str,
+        change_id: str,
+    ) -> dict[str, Any]:
+        """Changes one field of a document.
+
+        Args:
+            service: The document.
+            path: Field names joined by dots.
+            value: New value.
+            expected: Revision that the operator decided upon.
+            who: The operator, for the history.
+            change_id: Unique id of this change.
+
+        Returns:
+            The new revision and the line of history.
+
+        Raises:
+            PolicyError: The result would not be valid.
+            RevisionConflictError: Somebody else changed it first.
+            WriteUnsettledError: It is unknown whether it took effect.
+            PlatformUnavailableError: Nothing was written.
+        """
+        if self._platform is None:
+            raise errors.PlatformUnavailableError(
+                "this node runs without a platform service; set 'platform' "
+                "in its settings to change policies."
+            )
+        current = await self._current(service)
+        revision = current.revision if current else 0
+        configuration_lib.check_expected(service, expected, revision)
+        before = _document_of(current, service)
+        after = policy.changed(before, path, value)
+        line = {
+            "change_id": change_id,
+            "who": who,
+            "when_s": time.time(),
+            "path": path,
+            "before": _field(before, path),
+            "after": value,
+            "from_revision": revision,
+        }
+        history = current.value.get("history", []) if current else []
+        document = {
+            "document": after,
+            "change_id": change_id,
+            "history": [*history, line][-_HISTORY:],
+        }
+        written = await self._write(service, document, revision, change_id)
+        self._publish(written)
+        return {"revision": written.revision, "line": line}
+
+    async def history(self, service: str) -> list[dict[str, Any]]:
+        """Returns the lines of history of a document, oldest first.
+
+        Raises:
+            PlatformUnavailableError: The service can't be asked.
+        """
+        current = await self._current(service)
+        return list(current.value.get("history", [])) if current else []
+
+    async def _current(self, service: str) -> platform_lib.Item | None:
+        if self._platform is None:
+            raise errors.PlatformUnavailableError(
+                "this node runs without a platform service."
+            )
+        key = PREFIX + service
+        snapshot = await self._platform.read(key)
+        for item in snapshot.items:
+            if item.key == key:
+                return item
+        return None
+
+    async def _write(
+        self,
+        service: str,
+        document: dict[str, Any],
+        expected: int,
+        change_id: str,
+    ) -> platform_lib.Item:
+        """Writes, and settles a write whose answer was lost.
+
+        A write can take effect while its answer is lost. Symptom: the
+        operator repeats it and meets a conflict with himself, or believes
+        that nothing happened. Reading back the change id tells which.
+        """
+        assert self._platform is not None
+        key = PREFIX + service
+        try:
+            revision = await self._platform.write(key, document, expected)
+            return platform_lib.Item(key, document, revision)
+        except platform_lib.WriteConflictError as conflict:
+            raise errors.RevisionConflictError(
+                service, expected, conflict.found
+            ) from None
+        except errors.PlatformUnavailableError:
+            return await self._settle(service, expected, change_id)
+
+    async def _settle(
+        self, service: str, expected: int, change_id: str
+    ) -> platform_lib.Item:
+        """Returns the item as it stands, once our write is found in it.
+
+        Somebody may have written on top already. Then theirs is what has to
+        be published: our document under their revision would differ for ever
+        between nodes that heard of the one or the other.
+        """
+        for _ in range(_SETTLE_TRIES):
+            await asyncio.sleep(_SETTLE_WAIT_S)
+            try:
+                current = await self._current(service)
+            except errors.PlatformUnavailableError:
+                continue
+            if current is not None and _wrote(current, change_id):
+                return current
+            if current is not None and current.revision != expected:
+                raise errors.RevisionConflictError(
+                    service, expected, current.revision
+                )
+        raise errors.WriteUnsettledError(change_id)
+
+    def _take(self, snapshot: platform_lib.Snapshot) -> None:
+        for item in snapshot.items:
+            self._publish(item)
+        # A stale read may be older than what we saw: never watch from there.
+        self._after = max(self._after, snapshot.revision)
+
+    def _publish(self, item: platform_lib.Item) -> None:
+        """Puts a document in force here and passes it on."""
+        entry = configuration_lib.entry_of(
+            item.key.removeprefix(PREFIX),
+            item.revision,
+            item.value.get("document", {}),
+            item.value.get("change_id", ""),
+        )
+        self._exchange.merge_policy(entry)
+
+
+def watchers_of(
+    members: list[membership_lib.Member], data_center: str
+) -> list[str]:
+    """Returns the ids of the nodes that watch for a data centre."""
+    near = [m.node_id for m in members if m.data_center == data_center]
+    near.sort(key=lambda node_id: xxhash.xxh3_64_intdigest(node_id.encode()))
+    return near[:WATCHERS_PER_DATA_CENTER]
+
+
+def _document_of(
+    current: platform_lib.Item | None, service: str
+) -> dict[str, Any]:
+    document = current.value.get("document") if current else None
+    return policy.full_document(document or {"service": service})
+
+
+def _field(document: dict[str, Any], path: str) -> Any:
+    target: Any = document
+    for name in path.split("."):
+        if isinstance(target, list):
+            target = next(i for i in target if i.get("name") == name)
+        else:
+            target = target[name]
+    return target
+
+
+def _wrote(current: platform_lib.Item, change_id: str) -> bool:
+    lines = current.value.get("history", [])
+    return any(line["change_id"] == change_id for line in lines)
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -0,0 +1,373 @@
+"""A running node: wires the parts, joins the others, stops as planned."""
+
+import asyncio
+import logging
+import pathlib
+import random
+import secrets
+import signal
+import time
+
+from burdockfront import configuration as configuration_lib
+from burdockfront import keyring as keyring_lib
+from burdockfront import ledger as ledger_lib
+from burdockfront import membership as membership_lib
+from burdockfront import tickets
+from burdockfront import timeline
+from burdockfront_client import attempts as attempts_lib
+from burdockfront_client import dispatcher as dispatcher_lib
+from burdockfront_node import backend as backend_lib
+from burdockfront_node import daemon_parts
+from burdockfront_node import entry as entry_lib
+from burdockfront_node import guard as guard_lib
+from burdockfront_node import internal_app
+from burdockfront_node import operators as operators_lib
+from burdockfront_node import servers
+from burdockfront_node import settings as settings_lib
+from burdockfront_node import ticket_status
+from burdockfront_node.controllers import backends as backends_lib
+from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import metrics as metrics_lib
+from burdockfront_node.controllers import platform as platform_lib
+from burdockfront_node.controllers import policies as policies_lib
+from burdockfront_node.controllers import seeds as seeds_lib
+from burdockfront_node.filters import base
+from burdockfront_node.filters import chain
+from burdockfront_node.internal import clocks
+
+_LOG = logging.getLogger(__name__)
+_JOIN_RETRY_S = 0.5
+_HOUSEKEEPING_S = 5.0
+_STOP_POLL_S = 0.05
+
+
+class Daemon:
+    """One node.
+
+    Args:
+        settings: Validated settings.
+        path: The settings file, read again at SIGHUP for replaced keys.
+    """
+
+    def __init__(self, settings: settings_lib.NodeSettings, path: pathlib.Path):
+        self._settings = settings
+        self._path = path
+        self._rng = random.Random(secrets.randbits(64))
+        self._boot_id = secrets.token_hex(6)
+        self._wall_s = clocks.SteadyWallClock()
+        self._ready = asyncio.Event()
+        self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._recorder = timeline.Recorder(
+            settings.node_id, settings.data_center, settings.events
+        )
+        self._keys = keyring_lib.KeyRing(settings.peer_keys)
+        self._operator_keys = keyring_lib.KeyRing(settings.operator_keys)
+        self._build_state()
+        self._build_request_path()
+        self._build_servers()
+
+    # ---- wiring ---------------------------------------------------------
+
+    def _build_state(self) -> None:
+        settings = self._settings
+        self._headers = {"Authorization": f"Bearer {self._keys.first()}"}
+        configuration = configuration_lib.Configuration()
+        me = membership_lib.Member(
+            node_id=settings.node_id,
+            boot_id=self._boot_id,
+            incarnation=int(time.time() * 1000),
+            revision=0,
+            status=membership_lib.Status.ALIVE,
+            address=settings.internal_address,
+            data_center=settings.data_center,
+            region=settings.region,
+        )
+        timing = membership_lib.Timing(
+            period_s=settings.gossip.period_s,
+            suspicion_periods=settings.gossip.suspicion_periods,
+            remember_s=settings.gossip.remember_s,
+        )
+        self._exchange = exchange_lib.Exchange(
+            membership_lib.Membership(me, timing, self._rng),
+            configuration,
+            settings.gossip,
+            self._headers,
+            self._recorder,
+            self._ready,
+            self._update_router,
+            self._rng,
+        )
+        self._platform = (
+            platform_lib.PlatformClient(settings.platform, self._rng)
+            if settings.platform
+            else None
+        )
+        self._policies = policies_lib.Policies(self._platform, self._exchange)
+        self._seeds = seeds_lib.Seeds(
+            self._platform, self._exchange, self._policies
+        )
+
+    def _build_request_path(self) -> None:
+        settings = self._settings
+        policy_of = self._exchange.configuration.policy_of
+        self._attempts = attempts_lib.AttemptBook()
+        self._dispatcher = dispatcher_lib.Dispatcher(
+            settings.node_id,
+            settings.data_center,
+            self._keys,
+            policy_of,
+            self._recorder,
+            settings.ticket_lifetime_s,
+            self._rng,
+        )
+        ledger = ledger_lib.Ledger(
+            settings.node_id, self._boot_id, settings.ledger_bytes
+        )
+        self._guard = guard_lib.Guard(
+            settings.node_id,
+            self._boot_id,
+            ledger,
+            self._dispatcher,
+            self._attempts,
+            policy_of,
+            self._recorder,
+            self._wall_s,
+        )
+        self._dispatcher.sender.local_guard = self._guard.handle
+        self._backends = backends_lib.Backends(
+            self._guard, self._exchange, self._recorder
+        )
+        self._metrics = metrics_lib.Metrics(
+            settings.statsd,
+            settings.node_id,
+            self._dispatcher,
+            self._guard,
+            self._exchange,
+            self._platform,
+        )
+        self._status = ticket_status.TicketStatus(
+            self._guard, self._dispatcher, self._headers
+        )
+
+    def _build_servers(self) -> None:
+        tools = base.Tools(
+            self._dispatcher,
+            self._attempts,
+            self._exchange.configuration.policy_of,
+            self._recorder,
+        )
+        entry = entry_lib.EntryApp(
+            chain.build(tools), tools, self._status, self._ready
+        )
+        internal = internal_app.CallApp(
+            self._guard, self._keys, self._recorder, self._internal_rest()
+        )
+        self._servers = [
+            servers.create(entry, self._settings.caller_address),
+            servers.create(internal, self._settings.internal_address),
+        ]
+
+    def _internal_rest(self) -> internal_app.applications.Starlette:
+        parts = daemon_parts.Parts(
+            exchange=self._exchange,
+            policies=self._policies,
+            guard=self._guard,
+            backends=self._backends,
+            dispatcher=self._dispatcher,
+            attempts=self._attempts,
+            metrics=self._metrics,
+            recorder=self._recorder,
+            ready=self._ready,
+        )
+        operators = operators_lib.Operators(parts)
+        for_peers = {
+            exchange_lib.PROBE: _plain(self._exchange.on_probe),
+            exchange_lib.PROBE_FOR: self._exchange.on_probe_for,
+            exchange_lib.PUSH: _plain(self._exchange.on_push),
+            exchange_lib.SYNC: _plain(self._exchange.on_sync),
+            ticket_status.PATH: _plain(self._on_ticket),
+            "/backend/announce": _plain(self._on_announce),
+            "/backend/targets": _plain(self._on_targets),
+        }
+        for_operators = {
+            "/operator/status": operators.status,
+            "/operator/members": operators.members,
+            "/operator/policy": operators.policy,
+            "/operator/change": operators.change,
+            "/operator/history": operators.history,
+            "/operator/events": operators.events,
+            "/operator/drain": operators.drain,
+        }
+        routes = [
+            internal_app.json_route(
+                path, lambda: self._keys, self._denied, handler
+            )
+            for path, handler in for_peers.items()
+        ]
+        routes += [
+            internal_app.json_route(
+                path, lambda: self._operator_keys, self._denied, handler
+            )
+            for path, handler in for_operators.items()
+        ]
+        return internal_app.applications.Starlette(routes=routes)
+
+    # ---- handlers -------------------------------------------------------
+
+    def _on_announce(self, message: dict[str, object]) -> dict[str, object]:
+        self._backends.announce(backend_lib.parse_announcement(message))
+        return {}
+
+    def _on_targets(self, message: dict[str, object]) -> dict[str, object]:
+        """Tells an embedded router what membership and policy are now."""
+        configuration = self._exchange.configuration
+        applied = configuration.applied().values()
+        return {
+            "members": [
+                m.to_entry().to_json()
+                for m in self._exchange.membership.usable()
+                if m.service
+            ],
+            "policies": [a.document for a in applied],
+        }
+
+    def _on_ticket(self, message: dict[str, object]) -> dict[str, object]:
+        ticket = tickets.decode(str(message["ticket"]), self._keys)
+        state, moved_to = self._status.here(ticket)
+        return {"state": state, "moved_to": moved_to}
+
+    def _denied(self, path: str) -> None:
+        self._recorder.record(time.time(), "key.denied", path=path)
+        _LOG.warning("wrong key", extra={"path": path})
+
+    def _update_router(self) -> None:
+        members = self._exchange.membership.usable()
+        self._dispatcher.router.update(
+            m.to_target() for m in members if m.service
+        )
+
+    # ---- life -----------------------------------------------------------
+
+    async def run(self) -> None:
+        """Runs until a signal asks for a planned stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_keys)
+        serving = [asyncio.create_task(s.serve()) for s in self._servers]
+        self._start_tasks()
+        stopping = asyncio.create_task(self._stop.wait())
+        # A server that ends by itself could not open its port.
+        await asyncio.wait(
+            [*serving, stopping], return_when=asyncio.FIRST_COMPLETED
+        )
+        if self._stop.is_set():
+            await self._stop_as_planned()
+        for server in self._servers:
+            server.should_exit = True
+        await asyncio.gather(*serving)
+        await self._close()
+
+    def _start_tasks(self) -> None:
+        for work in (
+            self._join(),
+            self._guard.tick_forever(),
+            self._exchange.probe_forever(),
+            self._exchange.push_forever(),
+            self._backends.watch_forever(),
+            self._policies.watch_forever(),
+            self._seeds.write_forever(),
+            self._metrics.send_forever(),
+            self._keep_house(),
+        ):
+            task = asyncio.create_task(work)
+            task.add_done_callback(_log_failure)
+            self._tasks.append(task)
+
+    async def _join(self) -> None:
+        """Learns members and configuration, then says ready.
+
+        A node that has heard neither the platform service nor a node that is
+        ready does not know which configuration is in force. It serves
+        nothing then: with its defaults, an accepted change would be undone.
+        """
+        while not self._ready.is_set():
+            known = await self._policies.read()
+            addresses = [*self._settings.seeds, *await self._seeds.read()]
+            unique = list(dict.fromkeys(addresses))
+            known = await self._exchange.join(unique) > 0 or known
+            alone = self._platform is None and not self._settings.seeds
+            if known or alone:
+                self._ready.set()
+                self._recorder.record(time.time(), "node.ready")
+                _LOG.info("ready")
+                return
+            await asyncio.sleep(_JOIN_RETRY_S)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            self._guard.ledger.expire(self._wall_s())
+            self._dispatcher.book.forget(time.monotonic())
+
+    async def _stop_as_planned(self) -> None:
+        """Leaves without interrupting a request.
+
+        First everybody hears that this node takes no new work, while it
+        still serves what comes from those who have not heard; then it waits
+        until nothing runs; then it lingers a moment for callers who repeat a
+        ticket because its answer was lost.
+        """
+        self._recorder.record(time.time(), "node.stopping")
+        self._guard.drain()
+        self._backends.publish()
+        drain = self._settings.drain
+        await asyncio.sleep(drain.notice_s)
+        until_s = time.monotonic() + self._settings.stop_patience_s
+        while self._busy() and time.monotonic() < until_s:
+            await asyncio.sleep(_STOP_POLL_S)
+        await asyncio.sleep(drain.linger_s)
+        self._exchange.leave()
+
+    def _busy(self) -> bool:
+        return self._guard.in_flight > 0 or self._entries_open() > 0
+
+    def _entries_open(self) -> int:
+        return sum(len(s.server_state.tasks) for s in self._servers)
+
+    def _reload_keys(self) -> None:
+        """Takes replaced keys from the settings file, at SIGHUP."""
+        try:
+            fresh = settings_lib.load(self._path)
+            self._keys.replace(fresh.peer_keys)
+            self._operator_keys.replace(fresh.operator_keys)
+        except settings_lib.errors.SettingsError as error:
+            _LOG.error("keys not replaced", extra={"why": str(error)})
+            return
+        self._headers["Authorization"] = f"Bearer {self._keys.first()}"
+        self._recorder.record(time.time(), "key.replaced")
+        _LOG.info("keys replaced")
+
+    async def _close(self) -> None:
+        await self._exchange.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._dispatcher.sender.peers.close()
+        if self._platform is not None:
+            await self._platform.close()
+
+
+def _plain(
+    handler: "exchange_lib.Callable[[dict[str, object]], dict[str, object]]",
+) -> internal_app.JsonHandler:
+    async def asynchronous(message: dict[str, object]) -> dict[str, object]:
+        return handler(message)
+
+    return asynchronous
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _LOG.error("a task ended", exc_info=task.exception())
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon_parts.py
@@ -0,0 +1,35 @@
+"""The parts of a running node, for those who need several of them."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from burdockfront import policy
+from burdockfront import timeline
+from burdockfront_client import attempts
+from burdockfront_client import dispatcher
+from burdockfront_node import guard
+from burdockfront_node.controllers import backends
+from burdockfront_node.controllers import exchange
+from burdockfront_node.controllers import metrics
+from burdockfront_node.controllers import policies
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What operators' handlers may reach."""
+
+    exchange: exchange.Exchange
+    policies: policies.Policies
+    guard: guard.Guard
+    backends: backends.Backends
+    dispatcher: dispatcher.Dispatcher
+    attempts: attempts.AttemptBook
+    metrics: metrics.Metrics
+    recorder: timeline.Recorder
+    ready: asyncio.Event
+
+
+def default_document(service: str) -> dict[str, Any]:
+    """Returns the document of a service without one of its own."""
+    return policy.full_document({"service": service})
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -0,0 +1,73 @@
+"""What filters share: the request on its way, and the registry."""
+
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Protocol
+
+from burdockfront import context as context_lib
+from burdockfront import outcomes
+from burdockfront import policy as policy_lib
+from burdockfront import registry
+from burdockfront import tickets
+from burdockfront import timeline
+from burdockfront_client import attempts
+from burdockfront_client import calls
+from burdockfront_client import dispatcher
+from burdockfront_node.internal import asgi
+
+FILTERS = registry.Registry("filter")
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A request on its way through the chain.
+
+    Attributes:
+        request: As it arrived.
+        service: Wanted service.
+        target: Path and query below the service.
+        policy: Policy in force of that service.
+        parent: The attempt whose backend server makes this call, if any.
+        context: Context of the call.
+        deadline_s: Monotonic time at which the answer is worthless.
+        ticket: The caller's ticket.
+        fresh_ticket: A ticket that goes back with the answer.
+        call: The call to dispatch, once it is known.
+    """
+
+    request: asgi.Request
+    service: str = ""
+    target: str = ""
+    policy: policy_lib.Policy | None = None
+    parent: attempts.OpenAttempt | None = None
+    context: context_lib.RequestContext | None = None
+    deadline_s: float = 0.0
+    ticket: tickets.Ticket | None = None
+    fresh_ticket: str = ""
+    call: calls.Call | None = None
+
+    @property
+    def request_id(self) -> str:
+        """The id of the whole request, once it is known."""
+        return self.context.request_id if self.context else ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What filters may use of the node."""
+
+    dispatcher: dispatcher.Dispatcher
+    attempts: attempts.AttemptBook
+    policy_of: Callable[[str], policy_lib.Policy]
+    recorder: timeline.Recorder
+
+
+Next = Callable[[Entry], Awaitable[outcomes.Answer]]
+
+
+class Filter(Protocol):
+    """One link of the chain."""
+
+    async def __call__(self, entry: Entry, following: Next) -> outcomes.Answer:
+        """Answers, or asks the following link."""
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/chain.py
@@ -0,0 +1,32 @@
+"""Builds the chain of filters in its order."""
+
+from burdockfront import outcomes
+from burdockfront_node.filters import base
+from burdockfront_node.filters import dispatch
+from burdockfront_node.filters import identify
+from burdockfront_node.filters import locate
+from burdockfront_node.filters import ticketing
+from burdockfront_node.filters import trace
+
+# Importing a filter's module registers it.
+MODULES = (dispatch, identify, locate, ticketing, trace)
+ORDER = ("locate", "identify", "trace", "ticketing", "dispatch")
+
+
+def build(tools: base.Tools) -> base.Next:
+    """Returns the first link; each link knows the one after it."""
+    following: base.Next = _nothing_follows
+    for name in reversed(ORDER):
+        following = _link(base.FILTERS.get(name)(tools), following)
+    return following
+
+
+def _link(link: base.Filter, following: base.Next) -> base.Next:
+    async def ask(entry: base.Entry) -> outcomes.Answer:
+        return await link(entry, following)
+
+    return ask
+
+
+async def _nothing_follows(entry: base.Entry) -> outcomes.Answer:
+    raise AssertionError("the last filter of the chain must answer")
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
@@ -0,0 +1,46 @@
+"""Puts the beginning and end of each request on the time line."""
+
+import time
+
+from burdockfront import outcomes
+from burdockfront_node.filters import base
+
+
+@base.FILTERS.register("trace")
+class Trace:
+    """Records what a caller asked for and what it got."""
+
+    def __init__(self, tools: base.Tools):
+        self._recorder = tools.recorder
+
+    async def __call__(
+        self, entry: base.Entry, following: base.Next
+    ) -> outcomes.Answer:
+        """Records an event before and one after."""
+        context = entry.context
+        assert context is not None
+        started_s = time.monotonic()
+        kind = "entry" if entry.parent is None else "deeper"
+        self._recorder.record(
+            time.time(),
+            f"{kind}.accepted",
+            context.request_id,
+            service=entry.service,
+            method=entry.request.method,
+            class_name=context.class_name,
+            priority=context.priority,
+            parent=context.parent,
+        )
+        answer = await following(entry)
+        self._recorder.record(
+            time.time(),
+            f"{kind}.answered",
+            context.request_id,
+            service=entry.service,
+            class_name=context.class_name,
+            outcome=answer.outcome.value,
+            reason=answer.reason.value if answer.reason else "",
+            status=answer.status,
+            elapsed_s=round(time.monotonic() - started_s, 4),
+        )
+        return answer
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -0,0 +1,119 @@
+"""Hands an attempt to the backend server and reads its whole answer."""
+
+import dataclasses
+import time
+
+from burdockfront import admission
+from burdockfront import context as context_lib
+from burdockfront import errors
+from burdockfront import keyring as keyring_lib
+from burdockfront import outcomes
+from burdockfront_client import attempts as attempts_lib
+from burdockfront_client import calls
+from burdockfront_client import peers as peers_lib
+from burdockfront_client import wire
+from burdockfront_node import backend as backend_lib
+
+
+class Handover:
+    """The connection between a guard and its backend server.
+
+    Args:
+        peers: Connections.
+        keys: Keys that sign contexts.
+        attempts: Open attempts, for the backend server's deeper calls.
+    """
+
+    def __init__(
+        self,
+        peers: peers_lib.Peers,
+        keys: keyring_lib.KeyRing,
+        attempts: attempts_lib.AttemptBook,
+    ):
+        self._peers = peers
+        self._keys = keys
+        self._attempts = attempts
+
+    async def run(
+        self,
+        announced: backend_lib.Announcement,
+        attempt: calls.Attempt,
+        nonce: str | None,
+        limit_bytes: int,
+    ) -> outcomes.Answer:
+        """Hands an attempt over and waits for its answer."""
+        opened = self._attempts.begin(attempt.context)
+        reply: peers_lib.Reply | None = None
+        unreachable = False
+        try:
+            reply = await self._peers.request(
+                announced.address,
+                attempt.call.method,
+                attempt.call.target,
+                self._headers(announced, attempt, nonce),
+                attempt.call.body,
+                max(0.001, opened.deadline_s - time.monotonic()),
+                limit_bytes,
+            )
+        except peers_lib.UnreachableError:
+            unreachable = True
+        except errors.DispatchError:
+            pass
+        finally:
+            unspent = self._attempts.end(attempt.context.attempt_id)
+        if reply is not None:
+            return _answer_of(announced, attempt, reply, unspent)
+        if unreachable:
+            return outcomes.not_run(
+                outcomes.Reason.UNREACHABLE, admission.RETRY_AFTER_S, unspent
+            )
+        return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
+
+    def _headers(
+        self,
+        announced: backend_lib.Announcement,
+        attempt: calls.Attempt,
+        nonce: str | None,
+    ) -> list[tuple[str, str]]:
+        context = attempt.context
+        if not announced.embedded:
+            # The allowance stays with this node, which makes the deeper
+            # calls. In the header too, it could be spent twice.
+            context = dataclasses.replace(context, allowance=0)
+        headers = [
+            *attempt.call.headers,
+            (context_lib.HEADER, context_lib.encode(context, self._keys)),
+            (wire.ATTEMPT, context.attempt_id),
+            (wire.DEADLINE, f"{context.remaining_s:.3f}"),
+        ]
+        if nonce is not None:
+            headers.append((wire.IDEMPOTENCY_KEY, nonce))
+        return headers
+
+
+def _answer_of(
+    announced: backend_lib.Announcement,
+    attempt: calls.Attempt,
+    reply: peers_lib.Reply,
+    unspent: int,
+) -> outcomes.Answer:
+    echoed = reply.header(wire.ATTEMPT)
+    if echoed is not None and echoed != attempt.context.attempt_id:
+        # A backend server that mixes up its answers: this one is somebody
+        # else's, and must not reach this caller.
+        return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
+    if announced.embedded:
+        unspent = int(reply.header(wire.UNSPENT) or 0)
+    if reply.header(wire.OUTCOME) == outcomes.Outcome.NOT_RUN:
+        return outcomes.not_run(
+            outcomes.Reason.OVERLOAD, admission.RETRY_AFTER_S, unspent
+        )
+    path_level = reply.header(wire.PATH_LEVEL)
+    return outcomes.Answer(
+        outcome=outcomes.Outcome.DONE,
+        status=reply.status,
+        headers=wire.end_to_end(reply.headers),
+        body=reply.body,
+        unspent=unspent,
+        level=int(path_level) if path_level else None,
+    )
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/asgi.py
@@ -0,0 +1,144 @@
+"""The thin edge between uvicorn and the filter chain.
+
+The hot paths are plain ASGI applications: routing, middleware and request
+objects of a framework cost more than the decisions themselves. Everything
+else (peers' exchange, operators) uses starlette.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
+
+from burdockfront import errors
+
+T = TypeVar("T")
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class BodyTooLargeError(errors.InvalidInputError):
+    """The request body is larger than allowed."""
+
+    def __init__(self, limit_bytes: int):
+        super().__init__(
+            f"expected a body of at most {limit_bytes} bytes, got more; send "
+            f"less, or raise body_limit_bytes in the policy of the service."
+        )
+
+
+class CallerGoneError(errors.BurdockfrontError):
+    """The other side closed the connection."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request.
+
+    Attributes:
+        method: HTTP method.
+        target: Encoded path and query.
+        headers: All headers, names in lower case.
+        body: The whole body.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header of this lower-case name."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+async def read_request(
+    scope: Scope, receive: Receive, limit_bytes: int
+) -> Request:
+    """Reads a whole request.
+
+    Raises:
+        BodyTooLargeError: The body is larger than `limit_bytes`.
+        CallerGoneError: The connection closed before the end of the body.
+    """
+    path = scope["raw_path"].decode("latin-1").partition("?")[0]
+    query = scope["query_string"].decode("latin-1")
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+    body = await _read_body(receive, limit_bytes)
+    target = f"{path}?{query}" if query else path
+    return Request(scope["method"], target, headers, body)
+
+
+async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError("the caller closed before the whole request")
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit_bytes:
+            raise BodyTooLargeError(limit_bytes)
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def respond(
+    send: Send,
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes,
+) -> None:
+    """Sends a whole answer."""
+    raw = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in headers]
+    raw.append((b"content-length", str(len(body)).encode()))
+    await send(
+        {"type": "http.response.start", "status": status, "headers": raw}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def unless_gone(
+    receive: Receive, work: Coroutine[Any, Any, T]
+) -> T | None:
+    """Awaits work, and cancels it when the caller closes its connection.
+
+    Nobody waits for the answer any more; without this the work would go on
+    through all layers to the deadline, at the worst possible time.
+
+    Returns:
+        The result, or None when the caller has gone.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    gone = False
+
+    async def watch() -> None:
+        nonlocal gone
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            gone = True
+            task.cancel()
+
+    watcher = asyncio.create_task(watch())
+    try:
+        return await work
+    except asyncio.CancelledError:
+        if not gone:
+            raise
+        task.uncancel()
+        return None
+    finally:
+        watcher.cancel()
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/logs.py
@@ -0,0 +1,20 @@
+"""Logs as JSON lines on standard error."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json as jsonlogger
+
+
+def set_up(level: str, node_id: str) -> None:
+    """Sends all logs of this process as JSON lines with the node's name."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        jsonlogger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"asctime": "at", "levelname": "level"},
+            static_fields={"node": node_id},
+        )
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    logging.getLogger("uvicorn").setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/main.py
@@ -0,0 +1,73 @@
+"""Command line of the node daemon."""
+
+import os
+import pathlib
+import sys
+
+import cyclopts
+import uvloop
+
+from burdockfront import errors
+from burdockfront_node import daemon as daemon_lib
+from burdockfront_node import logs
+from burdockfront_node import settings as settings_lib
+
+app = cyclopts.App(
+    name="burdockfront-node",
+    help="The overload control daemon beside a backend server.",
+)
+
+_EXIT_BAD_INPUT = 2
+
+
+@app.command(name="run")
+def run_node(settings: pathlib.Path) -> None:
+    """Runs the node until SIGTERM, which is a planned stop.
+
+    SIGHUP takes replaced keys from the settings file.
+
+    Example: burdockfront-node run /etc/burdockfront/node.yaml
+
+    Args:
+        settings: The YAML settings file.
+    """
+    loaded = _load(settings)
+    logs.set_up(loaded.log_level, loaded.node_id)
+    # The event loop's file operations could use io_uring, which our VMs
+    # forbid; this daemon opens no files while it runs, and this makes sure.
+    os.environ["UV_USE_IO_URING"] = "0"
+    uvloop.run(_run(loaded, settings))
+
+
+@app.command(name="check-settings")
+def check_settings(settings: pathlib.Path) -> None:
+    """Checks a settings file and says what is wrong with it.
+
+    Example: burdockfront-node check-settings node.yaml
+
+    Args:
+        settings: The YAML settings file.
+    """
+    loaded = _load(settings)
+    print(f"{settings}: valid settings of node {loaded.node_id}")
+
+
+async def _run(loaded: settings_lib.NodeSettings, path: pathlib.Path) -> None:
+    await daemon_lib.Daemon(loaded, path).run()
+
+
+def _load(path: pathlib.Path) -> settings_lib.NodeSettings:
+    try:
+        return settings_lib.load(path)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(_EXIT_BAD_INPUT)
+
+
+def run() -> None:
+    """Entry point."""
+    app()
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/problems.py
@@ -0,0 +1,83 @@
+"""Answers that are not a backend server's: problem details (RFC 9457)."""
+
+import math
+
+import orjson
+
+from burdockfront import errors
+from burdockfront import outcomes
+from burdockfront_client import wire
+from burdockfront_node.filters import base
+from burdockfront_node.internal import asgi
+
+_TITLES = {
+    outcomes.Reason.OVERLOAD: "The service is overloaded.",
+    outcomes.Reason.OVERLOAD_DEEPER: "A deeper service is overloaded.",
+    outcomes.Reason.DEADLINE: "The deadline can't be met.",
+    outcomes.Reason.DRAINING: "The backend server is leaving.",
+    outcomes.Reason.NO_BACKEND: "No backend server is there now.",
+    outcomes.Reason.UNREACHABLE: "The backend server can't be reached.",
+    outcomes.Reason.LOST_ANSWER: "The answer was lost; it may have run.",
+    outcomes.Reason.TICKET_NEEDED: "A confirmation needs a ticket; the "
+    "header Burdockfront-Ticket brings one. Repeat with it as "
+    "Idempotency-Key.",
+    outcomes.Reason.TICKET_BAD: "The ticket is for another service.",
+    outcomes.Reason.TICKET_OWNER_GONE: "The only node that knows this "
+    "ticket is gone, or the ticket is too old. If it was never sent before, "
+    "take a new ticket; otherwise look up the result in the service itself.",
+    outcomes.Reason.STILL_RUNNING: "It is still running; ask again.",
+    outcomes.Reason.NO_SUCH_SERVICE: "No such service is known.",
+    outcomes.Reason.BAD_REQUEST: "The request is not valid.",
+    outcomes.Reason.TOO_LARGE: "The request is too large.",
+}
+
+
+def of_error(error: errors.BurdockfrontError) -> outcomes.Answer:
+    """Returns the refusal for input that is not valid."""
+    status = 400
+    reason = outcomes.Reason.BAD_REQUEST
+    if isinstance(error, errors.AuthenticationError):
+        status = 403
+    elif isinstance(error, errors.TicketError):
+        status = 422
+        reason = outcomes.Reason.TICKET_BAD
+    elif isinstance(error, asgi.BodyTooLargeError):
+        status = 413
+        reason = outcomes.Reason.TOO_LARGE
+    return outcomes.Answer(
+        outcome=outcomes.Outcome.NOT_RUN,
+        status=status,
+        reason=reason,
+        body=str(error).encode(),
+    )
+
+
+def to_http(
+    entry: base.Entry, answer: outcomes.Answer
+) -> tuple[list[tuple[str, str]], bytes]:
+    """Returns headers and body for the caller."""
+    headers = [(wire.OUTCOME, answer.outcome.value)]
+    if entry.request_id:
+        headers.append((wire.REQUEST_ID, entry.request_id))
+    if entry.fresh_ticket:
+        headers.append((wire.TICKET, entry.fresh_ticket))
+    if answer.outcome is outcomes.Outcome.DONE:
+        return [*answer.headers, *headers], answer.body
+    assert answer.reason is not None
+    headers.append((wire.REASON, answer.reason.value))
+    headers.append(("Content-Type", "application/problem+json"))
+    if answer.retry_after_s is not None:
+        # The header takes whole seconds only; the body is exact.
+        whole_s = math.ceil(answer.retry_after_s)
+        headers.append(("Retry-After", str(whole_s)))
+    problem = {
+        "type": f"urn:burdockfront:{answer.reason.value}",
+        "title": _TITLES[answer.reason],
+        "status": answer.status,
+        "outcome": answer.outcome.value,
+        "retry_after_s": answer.retry_after_s,
+        "request_id": entry.request_id,
+    }
+    if answer.body:
+        problem["detail"] = answer.body.decode("utf-8", "replace")
+    return headers, orjson.dumps(problem)
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -0,0 +1,306 @@
+"""Admission at the guard: who gets the next slot of the backend server.
+
+The queue is ordered by (rank, paid for, ordinal). Rank first: browsing goes
+before confirmations. Within a rank, work already paid for comes first: a call
+from an upper layer carries the work done there, and refusing it wastes that
+work, while refusing a new request wastes nothing. Then the ordinal, which is
+the same in all layers, so that layers refuse the same requests.
+
+The queue is bounded by time, not by length: a request waits `queue_s` at the
+most, and one whose deadline can't be met is refused at once. When a better
+request arrives and the queue already holds more than can be served in
+`queue_s`, the worst one is refused at once.
+
+The kinds `limit` and `none` are the baselines to compare with.
+"""
+
+import dataclasses
+import heapq
+import itertools
+from typing import Protocol
+
+from burdockfront import context as context_lib
+from burdockfront import levels
+from burdockfront import limits
+from burdockfront import outcomes
+from burdockfront import policy
+from burdockfront import registry
+
+KINDS = registry.Registry("admission kind")
+
+_WINDOW_S = 0.1
+_TARGET_SHARE = 0.25
+_SERVICE_TIME_WEIGHT = 0.1
+_MIN_QUEUE = 2
+# What a refused caller is told: long enough that repeats don't add to the
+# load that caused the refusal, short enough for the recovery aim of seconds.
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A queued request that is given up, with the answer it gets now."""
+
+    item_id: str
+    answer: outcomes.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """What follows from an event: requests that start and that are refused."""
+
+    started: tuple[str, ...] = ()
+    refused: tuple[Refusal, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    item_id: str
+    order: tuple[int, ...]
+    arrived_s: float
+    give_up_s: float
+    gone: bool = False
+
+
+class Admission(Protocol):
+    """What a guard asks; see `LevelAdmission` for the meaning."""
+
+    in_use: int
+
+    def offer(
+        self, item_id: str, context: context_lib.RequestContext, now_s: float
+    ) -> Step:
+        """Takes a request that arrived."""
+
+    def release(self, service_s: float, now_s: float) -> Step:
+        """Takes back a slot."""
+
+    def cancel(self, item_id: str) -> None:
+        """Drops a queued request whose caller has gone."""
+
+    def advance(self, now_s: float) -> Step:
+        """Lets time pass."""
+
+    def level(self) -> int:
+        """Returns the highest admitted priority number."""
+
+    def load(self, now_s: float) -> float:
+        """Returns slots used and waited for, per slot."""
+
+    def shed_by_backend(self, now_s: float) -> None:
+        """Learns that the backend server itself refused."""
+
+    def adopt(self, new: policy.AdmissionPolicy) -> None:
+        """Takes changed parameters."""
+
+
+class _QueueAdmission:
+    """The shared part: slots, a time-bounded queue, and its order."""
+
+    def __init__(
+        self,
+        admission_policy: policy.AdmissionPolicy,
+        limit: limits.ConcurrencyLimit,
+        now_s: float,
+    ):
+        self.in_use = 0
+        self._policy = admission_policy
+        self._limit = limit
+        self._heap: list[tuple[tuple[int, ...], int, _Waiting]] = []
+        self._by_id: dict[str, _Waiting] = {}
+        self._sequence = itertools.count()
+        self._service_s = 0.05
+
+    def offer(
+        self, item_id: str, context: context_lib.RequestContext, now_s: float
+    ) -> Step:
+        """Starts, queues or refuses a request."""
+        if self._above_level(context):
+            return self._refuse_new(item_id, outcomes.Reason.OVERLOAD)
+        if context.remaining_s <= 0.0:
+            return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
+        self._count_admitted(context)
+        waiting = _Waiting(
+            item_id,
+            self._order(context),
+            now_s,
+            now_s + min(self._policy.queue_s, context.remaining_s),
+        )
+        self._by_id[item_id] = waiting
+        heapq.heappush(
+            self._heap, (waiting.order, next(self._sequence), waiting)
+        )
+        started = self._start(now_s)
+        return Step(started, self._trim(now_s))
+
+    def release(self, service_s: float, now_s: float) -> Step:
+        """Frees a slot, learns the service time, starts the next."""
+        assert self.in_use > 0, "a slot is released once"
+        self.in_use -= 1
+        self._service_s += _SERVICE_TIME_WEIGHT * (service_s - self._service_s)
+        refused = self._give_up(now_s)
+        return Step(self._start(now_s), refused)
+
+    def cancel(self, item_id: str) -> None:
+        """Drops a queued request whose caller has gone."""
+        waiting = self._by_id.pop(item_id, None)
+        if waiting is not None:
+            waiting.gone = True
+
+    def advance(self, now_s: float) -> Step:
+        """Gives up what waited too long; starts what a ramp allows."""
+        refused = self._give_up(now_s)
+        return Step(self._start(now_s), refused)
+
+    def level(self) -> int:
+        """Returns the highest admitted priority number."""
+        return levels.OPEN
+
+    def load(self, now_s: float) -> float:
+        """Returns slots used and waited for, per slot."""
+        return (self.in_use + len(self._by_id)) / self._limit.current(now_s)
+
+    def shed_by_backend(self, now_s: float) -> None:
+        """Lowers the limit below what was in use."""
+        self._limit.shed_by_backend(self.in_use, now_s)
+
+    def adopt(self, new: policy.AdmissionPolicy) -> None:
+        """Takes changed parameters."""
+        self._policy = new
+        self._limit.set_ramp(new.ramp_s)
+
+    def _order(self, context: context_lib.RequestContext) -> tuple[int, ...]:
+        raise NotImplementedError
+
+    def _above_level(self, context: context_lib.RequestContext) -> bool:
+        return False
+
+    def _count_admitted(self, context: context_lib.RequestContext) -> None:
+        pass
+
+    def _waited(self, delay_s: float) -> None:
+        pass
+
+    def _dropped(self) -> None:
+        pass
+
+    def _refuse_new(self, item_id: str, reason: outcomes.Reason) -> Step:
+        answer = outcomes.not_run(reason, RETRY_AFTER_S)
+        return Step(refused=(Refusal(item_id, answer),))
+
+    def _start(self, now_s: float) -> tuple[str, ...]:
+        started = []
+        limit = self._limit.current(now_s)
+        while self._heap and self.in_use < limit:
+            _, _, waiting = heapq.heappop(self._heap)
+            if waiting.gone:
+                continue
+            del self._by_id[waiting.item_id]
+            self.in_use += 1
+            self._waited(now_s - waiting.arrived_s)
+            started.append(waiting.item_id)
+        return tuple(started)
+
+    def _give_up(self, now_s: float) -> tuple[Refusal, ...]:
+        late = [w for w in self._by_id.values() if w.give_up_s <= now_s]
+        return tuple(self._refuse(waiting) for waiting in late)
+
+    def _trim(self, now_s: float) -> tuple[Refusal, ...]:
+        limit = self._limit.current(now_s)
+        useful = int(limit * self._policy.queue_s / max(self._service_s, 1e-3))
+        excess = len(self._by_id) - max(_MIN_QUEUE, useful)
+        if excess <= 0:
+            return ()
+        worst = heapq.nlargest(
+            excess, self._by_id.values(), key=lambda w: (w.order, w.arrived_s)
+        )
+        return tuple(self._refuse(waiting) for waiting in worst)
+
+    def _refuse(self, waiting: _Waiting) -> Refusal:
+        del self._by_id[waiting.item_id]
+        waiting.gone = True
+        self._dropped()
+        answer = outcomes.not_run(outcomes.Reason.OVERLOAD, RETRY_AFTER_S)
+        return Refusal(waiting.item_id, answer)
+
+
+@KINDS.register("level")
+class LevelAdmission(_QueueAdmission):
+    """Priority order, with a level that refuses at once and flows back."""
+
+    def __init__(
+        self,
+        admission_policy: policy.AdmissionPolicy,
+        limit: limits.ConcurrencyLimit,
+        now_s: float,
+    ):
+        super().__init__(admission_policy, limit, now_s)
+        self._control = levels.LevelControl(
+            admission_policy.queue_s * _TARGET_SHARE, _WINDOW_S, now_s
+        )
+
+    def advance(self, now_s: float) -> Step:
+        """Also sets the level at the end of each window."""
+        step = super().advance(now_s)
+        self._control.advance(now_s)
+        return step
+
+    def level(self) -> int:
+        """Returns the highest admitted priority number."""
+        return self._control.level
+
+    def adopt(self, new: policy.AdmissionPolicy) -> None:
+        """Takes changed parameters."""
+        super().adopt(new)
+        self._control.set_target(new.queue_s * _TARGET_SHARE)
+
+    def _order(self, context: context_lib.RequestContext) -> tuple[int, ...]:
+        new_work = 1 if context.depth == 0 else 0
+        return (context.rank, new_work, context.ordinal)
+
+    def _above_level(self, context: context_lib.RequestContext) -> bool:
+        # Calls from upper layers are paid for: only the queue refuses them.
+        return context.depth == 0 and context.priority > self._control.level
+
+    def _count_admitted(self, context: context_lib.RequestContext) -> None:
+        self._control.admitted(context.priority)
+
+    def _waited(self, delay_s: float) -> None:
+        self._control.waited(delay_s)
+
+    def _dropped(self) -> None:
+        self._control.dropped()
+
+
+@KINDS.register("limit")
+class LimitAdmission(_QueueAdmission):
+    """Baseline: a limit per hop, first come first served."""
+
+    def _order(self, context: context_lib.RequestContext) -> tuple[int, ...]:
+        return ()
+
+
+@KINDS.register("none")
+class NoAdmission(_QueueAdmission):
+    """Baseline: everything goes to the backend server at once."""
+
+    def _start(self, now_s: float) -> tuple[str, ...]:
+        started = tuple(w.item_id for _, _, w in self._heap if not w.gone)
+        self._heap.clear()
+        self._by_id.clear()
+        self.in_use += len(started)
+        return started
+
+
+def create(
+    admission_policy: policy.AdmissionPolicy,
+    limit: limits.ConcurrencyLimit,
+    now_s: float,
+) -> Admission:
+    """Returns admission of the policy's kind.
+
+    Raises:
+        UnknownVariantError: The policy names no registered kind.
+    """
+    kind = KINDS.get(admission_policy.kind)
+    return kind(admission_policy, limit, now_s)
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/context.py
@@ -0,0 +1,108 @@
+"""What travels with a request through all layers.
+
+The entry node makes the context once; every later layer only narrows it. It
+is signed, so a caller can't forge a priority, and a backend server passes it
+on as an opaque header. Deadlines travel as remaining time, never as a wall
+clock time, because the clocks of two VMs disagree.
+"""
+
+import base64
+import dataclasses
+
+import orjson
+
+from burdockfront import errors
+from burdockfront import keyring as keyring_lib
+
+HEADER = "Burdockfront-Context"
+ORDINALS = 256
+MAX_DEPTH = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestContext:
+    """The identity, priority and budgets of one call.
+
+    Attributes:
+        request_id: The same in all layers of one request.
+        attempt_id: Names this one attempt; the next hop echoes it.
+        class_name: Class that the entry service's policy gave the request.
+        rank: Rank of the class; 0 is shed last.
+        ordinal: 0 to 255, the same in all layers. Layers under pressure
+            shed the same requests, so a request survives whole or not at all.
+        depth: Number of layers above; 0 at the entry.
+        remaining_s: Time left until the deadline.
+        allowance: Retries that this call and all below it may spend.
+        parent: Attempt that made this call, for the time line.
+    """
+
+    request_id: str
+    attempt_id: str
+    class_name: str
+    rank: int
+    ordinal: int
+    depth: int
+    remaining_s: float
+    allowance: int
+    parent: str = ""
+
+    @property
+    def priority(self) -> int:
+        """One number for shedding: the smaller, the later it is shed."""
+        return self.rank * ORDINALS + self.ordinal
+
+    def narrowed(
+        self, attempt_id: str, remaining_s: float, allowance: int
+    ) -> "RequestContext":
+        """Returns the context of a call one layer deeper."""
+        assert allowance <= self.allowance, "a call can't gain allowance"
+        return dataclasses.replace(
+            self,
+            attempt_id=attempt_id,
+            depth=self.depth + 1,
+            remaining_s=remaining_s,
+            allowance=allowance,
+            parent=self.attempt_id,
+        )
+
+
+def encode(context: RequestContext, keys: keyring_lib.KeyRing) -> str:
+    """Returns the signed header value."""
+    payload = base64.urlsafe_b64encode(
+        orjson.dumps(
+            [
+                context.request_id,
+                context.attempt_id,
+                context.class_name,
+                context.rank,
+                context.ordinal,
+                context.depth,
+                round(context.remaining_s, 4),
+                context.allowance,
+                context.parent,
+            ]
+        )
+    )
+    return f"{payload.decode()}.{keys.sign(payload)}"
+
+
+def decode(value: str, keys: keyring_lib.KeyRing) -> RequestContext:
+    """Reads a signed header value.
+
+    Raises:
+        ForgedContextError: The signature is missing or wrong.
+        InvalidInputError: The chain of calls is too deep.
+    """
+    payload, _, tag = value.partition(".")
+    if not keys.verify(payload.encode(), tag):
+        raise errors.ForgedContextError()
+    context = RequestContext(
+        *orjson.loads(base64.urlsafe_b64decode(payload.encode()))
+    )
+    if context.depth > MAX_DEPTH:
+        raise errors.InvalidInputError(
+            f"expected a chain of at most {MAX_DEPTH} calls, got "
+            f"{context.depth}; look for a cycle in the call graph with "
+            f"'timeline request {context.request_id}'."
+        )
+    return context
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/keyring.py
@@ -0,0 +1,81 @@
+"""Keys that can be replaced without a stop.
+
+The first key signs, every key verifies. To replace a key: put the new one
+second on all nodes, then first, then drop the old one; each step is a reload
+(SIGHUP), never a restart.
+"""
+
+import hashlib
+import hmac
+
+from burdockfront import errors
+
+_MIN_KEY_BYTES = 16
+_TAG_BYTES = 12
+
+
+class KeyRing:
+    """Signs with the first key and verifies with any."""
+
+    def __init__(self, keys: list[str]):
+        self.replace(keys)
+
+    def replace(self, keys: list[str]) -> None:
+        """Takes other keys, without a stop.
+
+        Raises:
+            SettingsError: There is none, or one is too short; the old keys
+                stay.
+        """
+        _check(keys)
+        self._keys = tuple(key.encode() for key in keys)
+        self._signers = tuple(
+            hmac.new(key, digestmod=hashlib.sha256) for key in self._keys
+        )
+
+    def sign(self, payload: bytes) -> str:
+        """Returns the hexadecimal tag of a payload."""
+        return _tag(self._signers[0], payload)
+
+    def verify(self, payload: bytes, tag: str) -> bool:
+        """Tells whether any key made this tag, in constant time per key."""
+        given = tag.encode()
+        valid = False
+        for signer in self._signers:
+            expected = _tag(signer, payload).encode()
+            valid |= hmac.compare_digest(expected, given)
+        return valid
+
+    def accepts(self, key: str) -> bool:
+        """Tells whether a presented key is one of ours, in constant time."""
+        given = hashlib.sha256(key.encode()).digest()
+        valid = False
+        for own in self._keys:
+            expected = hashlib.sha256(own).digest()
+            valid |= hmac.compare_digest(expected, given)
+        return valid
+
+    def first(self) -> str:
+        """Returns the key to present to others."""
+        return self._keys[0].decode()
+
+
+def _check(keys: list[str]) -> None:
+    if not keys:
+        raise errors.SettingsError(
+            "expected at least one key, got none; generate one with "
+            "'burdockfront-ctl new-key'."
+        )
+    for key in keys:
+        if len(key.encode()) < _MIN_KEY_BYTES:
+            raise errors.SettingsError(
+                f"expected keys of at least {_MIN_KEY_BYTES} bytes, got one "
+                f"of {len(key.encode())}; generate one with "
+                f"'burdockfront-ctl new-key'."
+            )
+
+
+def _tag(signer: hmac.HMAC, payload: bytes) -> str:
+    signer = signer.copy()
+    signer.update(payload)
+    return signer.hexdigest()[: 2 * _TAG_BYTES]
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/ledger.py
@@ -0,0 +1,193 @@
+"""The owner's ledger: each ticket is handed to a backend server at most once.
+
+States of a ticket at its owner:
+
+    (absent) --begin--> RESERVED --hand_over--> RUNNING --finish--> FINISHED
+                            |--close--> CLOSED   (said not-run; never runs)
+                            `--move---> MOVED    (a successor owns it)
+
+Invariant: only `hand_over` leads to a run, and only from RESERVED, which is
+entered only from absent. An entry stays until its ticket has expired, so a
+late repeat can't find an empty place and run a second time.
+
+CLOSED exists because of two attempts with one ticket: the first is delayed in
+the network, the second is refused with `not-run`, then the first arrives. If
+it ran, the caller would have been told a lie. So the refusal closes the
+ticket, and the refused caller gets a fresh one with the refusal.
+"""
+
+import dataclasses
+import enum
+
+from burdockfront import errors
+from burdockfront import outcomes
+from burdockfront import tickets
+
+# Entries outlive their ticket by this much, so that a request which was
+# checked just before the expiry still meets its entry.
+_GRACE_S = 30.0
+_ENTRY_BYTES = 400
+
+
+class Decision(enum.Enum):
+    """What to do with a ticket that arrived."""
+
+    RUN = "run"
+    REPLAY = "replay"
+    WAIT = "wait"
+    FORWARD = "forward"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    expires_s: float
+    handed_over: bool = False
+    answer: outcomes.Answer | None = None
+    moved_to: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """The decision, with the kept answer or the successor ticket."""
+
+    decision: Decision
+    answer: outcomes.Answer | None = None
+    moved_to: str | None = None
+
+
+class Ledger:
+    """Tickets of one node incarnation.
+
+    Args:
+        node_id: The owner's id.
+        boot_id: The owner's process.
+        capacity_bytes: Memory for entries and kept answers. A full ledger
+            refuses new tickets rather than forget one, because a forgotten
+            ticket could run twice.
+    """
+
+    def __init__(
+        self, node_id: str, boot_id: str, capacity_bytes: int = 64_000_000
+    ):
+        self._node_id = node_id
+        self._boot_id = boot_id
+        self._capacity_bytes = capacity_bytes
+        self._used_bytes = 0
+        self._entries: dict[str, _Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def used_bytes(self) -> int:
+        """Estimated memory of all entries."""
+        return self._used_bytes
+
+    def begin(self, ticket: tickets.Ticket, wall_s: float) -> Verdict:
+        """Decides what to do with a ticket, and reserves it when it may run.
+
+        Args:
+            ticket: The ticket that arrived.
+            wall_s: The owner's wall clock, which must never step back.
+        """
+        verdict = self.look_up(ticket, wall_s)
+        if verdict.decision is Decision.RUN:
+            self._entries[ticket.nonce] = _Entry(ticket.expires_s)
+            self._used_bytes += _ENTRY_BYTES
+        return verdict
+
+    def look_up(self, ticket: tickets.Ticket, wall_s: float) -> Verdict:
+        """Like `begin`, but reserves nothing: for status look-ups."""
+        entry = self._entries.get(ticket.nonce)
+        if entry is not None:
+            return _verdict_of(entry)
+        refusal = self._refusal(ticket, wall_s)
+        if refusal is not None:
+            return Verdict(Decision.REFUSE, answer=refusal)
+        return Verdict(Decision.RUN)
+
+    def hand_over(self, nonce: str) -> None:
+        """Marks that the backend server is about to be handed the request."""
+        entry = self._entries[nonce]
+        assert not entry.handed_over, "a ticket is handed over once"
+        assert entry.answer is None, "a closed ticket never runs"
+        assert entry.moved_to is None, "a moved ticket never runs here"
+        entry.handed_over = True
+
+    def close(self, nonce: str, refusal: outcomes.Answer) -> None:
+        """Keeps a refusal: from now on this ticket never runs."""
+        assert refusal.outcome is outcomes.Outcome.NOT_RUN
+        entry = self._entries[nonce]
+        assert not entry.handed_over, "what was handed over may have run"
+        entry.answer = refusal
+
+    def vouched(self, nonce: str, refusal: outcomes.Answer) -> None:
+        """Keeps the backend server's own word that it ran nothing."""
+        assert refusal.outcome is outcomes.Outcome.NOT_RUN
+        self._entries[nonce].answer = refusal
+
+    def move(self, nonce: str, successor: str) -> None:
+        """Gives a ticket that has not run here to another owner for good.
+
+        Without the record, a caller that lost the answer and repeats here
+        would run it a second time beside the successor.
+        """
+        entry = self._entries[nonce]
+        assert not entry.handed_over, "what was handed over may have run"
+        assert entry.answer is None, "a closed ticket is not moved"
+        entry.moved_to = successor
+
+    def finish(self, nonce: str, answer: outcomes.Answer) -> None:
+        """Keeps the answer for repeats."""
+        assert answer.outcome is not outcomes.Outcome.NOT_RUN
+        entry = self._entries[nonce]
+        assert entry.handed_over, "only what was handed over has an answer"
+        entry.answer = answer
+        self._used_bytes += len(answer.body)
+
+    def expire(self, wall_s: float) -> int:
+        """Forgets entries whose ticket can't be accepted any more."""
+        old = [
+            nonce
+            for nonce, entry in self._entries.items()
+            if entry.expires_s + _GRACE_S < wall_s
+        ]
+        for nonce in old:
+            entry = self._entries.pop(nonce)
+            body_bytes = len(entry.answer.body) if entry.answer else 0
+            self._used_bytes -= _ENTRY_BYTES + body_bytes
+        return len(old)
+
+    def _refusal(
+        self, ticket: tickets.Ticket, wall_s: float
+    ) -> outcomes.Answer | None:
+        mine = ticket.owner == self._node_id and ticket.boot_id == self._boot_id
+        if not mine or wall_s > ticket.expires_s:
+            return outcomes.unknown(outcomes.Reason.TICKET_OWNER_GONE)
+        if self._used_bytes >= self._capacity_bytes:
+            # Not `not-run`: the refusal is not kept, so this ticket may
+            # still run when a delayed attempt arrives after room was made.
+            return outcomes.unknown(outcomes.Reason.OVERLOAD, 1.0)
+        return None
+
+
+def _verdict_of(entry: _Entry) -> Verdict:
+    if entry.moved_to is not None:
+        return Verdict(Decision.FORWARD, moved_to=entry.moved_to)
+    if entry.answer is not None:
+        return Verdict(Decision.REPLAY, answer=entry.answer)
+    return Verdict(Decision.WAIT)
+
+
+def check_lifetime(lifetime_s: float) -> None:
+    """Checks a ticket lifetime from the settings.
+
+    Raises:
+        SettingsError: It is too short for a repeat, or unbounded memory.
+    """
+    if not 10.0 <= lifetime_s <= 86_400.0:
+        raise errors.SettingsError(
+            f"expected ticket_lifetime_s from 10 to 86400, got {lifetime_s}; "
+            f"900 suits callers that repeat within minutes."
+        )
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -0,0 +1,114 @@
+"""What became of a request.
+
+An outcome is a promise to the caller, not a status of a hop:
+
+* `DONE`: the answer is the whole answer of a backend server to this request
+  (also when that answer is an error of the backend server).
+* `NOT_RUN`: no backend server anywhere was handed the request. Only somebody
+  who knows that may say it.
+* `UNKNOWN`: everything else. The request may have run, in part or whole.
+"""
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.StrEnum):
+    """The three outcomes, as in the `Burdockfront-Outcome` header."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a request has no answer of a backend server."""
+
+    OVERLOAD = "overload"
+    OVERLOAD_DEEPER = "overload-deeper"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    NO_BACKEND = "no-backend"
+    UNREACHABLE = "unreachable"
+    LOST_ANSWER = "lost-answer"
+    TICKET_NEEDED = "ticket-needed"
+    TICKET_BAD = "ticket-bad"
+    TICKET_OWNER_GONE = "ticket-owner-gone"
+    STILL_RUNNING = "still-running"
+    NO_SUCH_SERVICE = "no-such-service"
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer on its way to the caller.
+
+    Attributes:
+        outcome: What became of the request.
+        status: HTTP status code.
+        headers: End-to-end headers as (name, value) pairs.
+        body: The whole body.
+        reason: Why there is no answer of a backend server.
+        retry_after_s: When to come back, for outcomes other than done.
+        unspent: Retry allowance that comes back to the asking side.
+        level: Highest priority number that this path admits now.
+        moved_to: Successor ticket, when the owner handed the ticket over.
+        queue_s: Time that the request waited for a slot.
+        load: Slots in use or waited for, divided by the slots.
+        draining: The guard that answered takes no new work.
+    """
+
+    outcome: Outcome
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    reason: Reason | None = None
+    retry_after_s: float | None = None
+    unspent: int = 0
+    level: int | None = None
+    moved_to: str | None = None
+    queue_s: float = 0.0
+    load: float | None = None
+    draining: bool = False
+
+
+_STATUS_OF_REASON = {
+    Reason.OVERLOAD: 503,
+    Reason.OVERLOAD_DEEPER: 503,
+    Reason.DEADLINE: 504,
+    Reason.DRAINING: 503,
+    Reason.NO_BACKEND: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.LOST_ANSWER: 504,
+    Reason.TICKET_NEEDED: 428,
+    Reason.TICKET_BAD: 422,
+    Reason.TICKET_OWNER_GONE: 409,
+    Reason.STILL_RUNNING: 409,
+    Reason.NO_SUCH_SERVICE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+}
+
+
+def not_run(
+    reason: Reason, retry_after_s: float | None = None, unspent: int = 0
+) -> Answer:
+    """Returns a refusal; the caller vouches that nothing ran anywhere."""
+    return Answer(
+        outcome=Outcome.NOT_RUN,
+        status=_STATUS_OF_REASON[reason],
+        reason=reason,
+        retry_after_s=retry_after_s,
+        unspent=unspent,
+    )
+
+
+def unknown(reason: Reason, retry_after_s: float | None = None) -> Answer:
+    """Returns the honest answer when it can't be said whether it ran."""
+    return Answer(
+        outcome=Outcome.UNKNOWN,
+        status=_STATUS_OF_REASON[reason],
+        reason=reason,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -0,0 +1,244 @@
+"""Which backend server gets a call.
+
+Two candidates are drawn at random and the better one is taken: with many
+routers that each see only a part of the load, "the best of all" would send
+all of them to the same server at once. Better means fewer calls of ours in
+flight plus the load that its guard told on its last answer, per slot.
+
+What is trusted: calls in flight are our own count. The load on an answer was
+counted by the guard, not reported by the backend server, and fades with age.
+Load reports of backend servers, which lag and mislead, take no part.
+
+A guard that leaves answers out is ejected: after `_SILENT_CALLS` calls in a
+row without an answer, or when it can't be reached. An ejected guard gets one
+probe call at a time, with a growing pause; the first answer brings it back.
+At least half of a service is always kept in use: when more seem bad, the
+router's own view (or its network) is the likelier culprit, and emptying the
+service would turn a doubt into an outage.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+_SILENT_CALLS = 3
+_FIRST_PAUSE_S = 0.5
+_MAX_PAUSE_S = 8.0
+_KEPT_SHARE = 0.5
+_LOAD_FADES_S = 1.0
+_DRAIN_BELIEVED_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A guard beside a backend server, as membership knows it.
+
+    Attributes:
+        node_id: The node.
+        boot_id: The node's process.
+        service: Service of the backend server beside it.
+        address: Where the node takes calls of nodes, `ip:port`.
+        data_center: Its data centre.
+        slots: Slots that the backend server announced.
+        draining: It takes no new work.
+    """
+
+    node_id: str
+    boot_id: str
+    service: str
+    address: str
+    data_center: str
+    slots: int
+    draining: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _State:
+    boot_id: str
+    in_flight: int = 0
+    silent: int = 0
+    load: float = 0.0
+    load_at_s: float = -1e9
+    ejected: bool = False
+    pause_s: float = _FIRST_PAUSE_S
+    probe_at_s: float = 0.0
+    probing: bool = False
+    drained_at_s: float = -1e9
+
+
+class Router:
+    """Chooses guards and learns from what became of calls.
+
+    Args:
+        data_center: Where this router runs; its own data centre is preferred
+            while it has enough guards in use.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, data_center: str, rng: random.Random):
+        self._data_center = data_center
+        self._rng = rng
+        self._targets: dict[str, dict[str, Target]] = {}
+        self._states: dict[str, _State] = {}
+
+    def update(self, targets: Iterable[Target]) -> None:
+        """Takes the backend servers that membership knows now."""
+        by_service: dict[str, dict[str, Target]] = {}
+        for target in targets:
+            by_service.setdefault(target.service, {})[target.node_id] = target
+            state = self._states.get(target.node_id)
+            if state is None or state.boot_id != target.boot_id:
+                self._states[target.node_id] = _State(target.boot_id)
+        self._targets = by_service
+        known = {name for group in by_service.values() for name in group}
+        for node_id in list(self._states):
+            if node_id not in known:
+                del self._states[node_id]
+
+    def services(self) -> list[str]:
+        """Returns the names of known services."""
+        return sorted(self._targets)
+
+    def targets_of(self, service: str) -> list[Target]:
+        """Returns all known guards of a service."""
+        return list(self._targets.get(service, {}).values())
+
+    def find(self, service: str, node_id: str) -> Target | None:
+        """Returns one guard by name."""
+        return self._targets.get(service, {}).get(node_id)
+
+    def choose(
+        self, service: str, tried: frozenset[str], now_s: float
+    ) -> Target | None:
+        """Returns the guard for a call, or None when there is none left.
+
+        Args:
+            service: The wanted service.
+            tried: Guards that this call has tried already.
+            now_s: The current time.
+        """
+        open_targets = [
+            target
+            for target in self._targets.get(service, {}).values()
+            if self._takes_work(target, now_s) and target.node_id not in tried
+        ]
+        due = self._due_probe(open_targets, now_s)
+        if due is not None:
+            return due
+        usable = [
+            target
+            for target in open_targets
+            if not self._states[target.node_id].ejected
+        ]
+        usable = self._with_floor(open_targets, usable)
+        if not usable:
+            return None
+        near = [t for t in usable if t.data_center == self._data_center]
+        if len(near) * 2 >= len(usable):
+            usable = near
+        return self._better_of_two(usable, now_s)
+
+    def sent(self, node_id: str) -> None:
+        """Counts a call on its way."""
+        state = self._states.get(node_id)
+        if state is not None:
+            state.in_flight += 1
+
+    def answered(
+        self, node_id: str, load: float | None, draining: bool, now_s: float
+    ) -> None:
+        """Learns from any answer of a guard: it is alive."""
+        state = self._states.get(node_id)
+        if state is None:
+            return
+        state.in_flight = max(0, state.in_flight - 1)
+        state.silent = 0
+        state.ejected = False
+        state.probing = False
+        state.pause_s = _FIRST_PAUSE_S
+        if load is not None:
+            state.load = load
+            state.load_at_s = now_s
+        if draining:
+            state.drained_at_s = now_s
+
+    def unanswered(self, node_id: str, unreachable: bool, now_s: float) -> bool:
+        """Learns that a call got no answer.
+
+        Args:
+            node_id: The guard.
+            unreachable: No connection could be made at all.
+            now_s: The current time.
+
+        Returns:
+            Whether the guard was ejected just now.
+        """
+        state = self._states.get(node_id)
+        if state is None:
+            return False
+        state.in_flight = max(0, state.in_flight - 1)
+        state.silent += _SILENT_CALLS if unreachable else 1
+        if state.probing or state.silent >= _SILENT_CALLS:
+            return self._eject(state, now_s)
+        return False
+
+    def abandoned(self, node_id: str) -> None:
+        """Forgets a call that its caller cancelled: it proves nothing."""
+        state = self._states.get(node_id)
+        if state is not None:
+            state.in_flight = max(0, state.in_flight - 1)
+            state.probing = False
+
+    def ejected(self) -> list[str]:
+        """Returns the ids of ejected guards."""
+        return sorted(n for n, s in self._states.items() if s.ejected)
+
+    def _eject(self, state: _State, now_s: float) -> bool:
+        fresh = not state.ejected
+        if not fresh:
+            state.pause_s = min(_MAX_PAUSE_S, state.pause_s * 2)
+        state.ejected = True
+        state.probing = False
+        jitter = self._rng.uniform(0.8, 1.2)
+        state.probe_at_s = now_s + state.pause_s * jitter
+        return fresh
+
+    def _takes_work(self, target: Target, now_s: float) -> bool:
+        if target.draining:
+            return False
+        state = self._states[target.node_id]
+        return now_s - state.drained_at_s > _DRAIN_BELIEVED_S
+
+    def _due_probe(self, targets: list[Target], now_s: float) -> Target | None:
+        for target in targets:
+            state = self._states[target.node_id]
+            due = state.ejected and not state.probing
+            if due and now_s >= state.probe_at_s:
+                state.probing = True
+                return target
+        return None
+
+    def _with_floor(
+        self, targets: list[Target], usable: list[Target]
+    ) -> list[Target]:
+        floor = int(len(targets) * _KEPT_SHARE + 0.5)
+        if len(usable) >= floor:
+            return usable
+        ejected = [t for t in targets if t not in usable]
+        ejected.sort(key=lambda t: self._states[t.node_id].pause_s)
+        return usable + ejected[: floor - len(usable)]
+
+    def _better_of_two(self, targets: list[Target], now_s: float) -> Target:
+        if len(targets) == 1:
+            return targets[0]
+        first, second = self._rng.sample(targets, 2)
+        if self._score(first, now_s) <= self._score(second, now_s):
+            return first
+        return second
+
+    def _score(self, target: Target, now_s: float) -> float:
+        state = self._states[target.node_id]
+        age_s = now_s - state.load_at_s
+        trust = max(0.0, 1.0 - age_s / _LOAD_FADES_S)
+        slots = max(1, target.slots)
+        return (state.in_flight + 1) / slots + trust * state.load
