--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -19,6 +19,8 @@
 import orjson
 import yaml
 
+from burdockfront_bench.standins import proxy as proxy_lib
+
 PEER_KEY = "bench-peer-key-0123456789"
 OPERATOR_KEY = "bench-operator-key-01234567"
 _START_PATIENCE_S = 60.0
@@ -84,6 +86,7 @@
         embedded: Backend servers embed the router.
         with_backends: Whether backend servers run, or only nodes.
         node_settings: More settings for all nodes.
+        proxied: Nodes reach each other through fault-injecting proxies.
     """
 
     services: list[Service]
@@ -93,6 +96,7 @@
     embedded: bool = False
     with_backends: bool = True
     node_settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+    proxied: bool = False
 
 
 class Cluster:
@@ -110,6 +114,9 @@
         self.platform = ""
         self.platform_process: asyncio.subprocess.Process | None = None
         self._session: aiohttp.ClientSession | None = None
+        self.proxies: dict[str, proxy_lib.FaultProxy] = {}
+        self._advertised: dict[str, str] = {}
+        self._helpers: list[asyncio.subprocess.Process] = []
         self._logs: list[Any] = []
         self._plan()
 
@@ -148,6 +155,8 @@
         )
         if self.platform:
             await self.start_platform()
+        if self.layout.proxied:
+            await self._start_proxies()
         for machine in self.machines:
             await self.start_node(machine)
         for machine in self.machines:
@@ -155,9 +164,18 @@
                 await self.start_backend(machine)
         await self.wait_until_known(len(self.machines))
 
+    async def _start_proxies(self) -> None:
+        ports = free_ports(len(self.machines))
+        for machine, port in zip(self.machines, ports, strict=True):
+            proxy = proxy_lib.FaultProxy(machine.internal)
+            address = f"127.0.0.1:{port}"
+            await proxy.start(address)
+            self.proxies[machine.name] = proxy
+            self._advertised[machine.name] = address
+
     async def start_platform(self) -> None:
         """Starts the platform stand-in."""
-        self.platform_process = await self._spawn(
+        self.platform_process = await self.spawn(
             "platform",
             "burdockfront_bench.standins.platform",
             "--address",
@@ -168,7 +186,7 @@
         """Starts a node."""
         path = self.directory / f"{machine.name}.yaml"
         path.write_text(yaml.safe_dump(self.settings_of(machine)))
-        machine.node_process = await self._spawn(
+        machine.node_process = await self.spawn(
             f"{machine.name}.node",
             "burdockfront_node.main",
             "run",
@@ -193,7 +211,7 @@
         }
         path = self.directory / f"{machine.name}.json"
         path.write_bytes(orjson.dumps(spec))
-        machine.backend_process = await self._spawn(
+        machine.backend_process = await self.spawn(
             f"{machine.name}.backend",
             "burdockfront_bench.standins.backend",
             str(path),
@@ -207,7 +225,11 @@
 
     def settings_of(self, machine: Machine) -> dict[str, Any]:
         """Returns the settings of a node."""
-        seeds = [m.internal for m in self.machines[:3]]
+        seeds = [
+            self._advertised.get(m.name, m.internal)
+            for m in self.machines[:3]
+            if m is not machine
+        ]
         settings: dict[str, Any] = {
             "node_id": machine.name,
             "data_center": machine.data_center,
@@ -216,11 +238,13 @@
             "internal_address": machine.internal,
             "peer_keys": [PEER_KEY],
             "operator_keys": [OPERATOR_KEY],
-            "seeds": [s for s in seeds if s != machine.internal],
+            "seeds": seeds,
             "gossip": {"period_s": 0.5},
             "drain": {"notice_s": 0.7, "linger_s": 0.3},
             **self.layout.node_settings,
         }
+        if machine.name in self._advertised:
+            settings["advertised_address"] = self._advertised[machine.name]
         if self.platform:
             settings["platform"] = {
                 "address": self.platform,
@@ -275,6 +299,22 @@
             document: dict[str, Any] = orjson.loads(await response.read())
             return document
 
+    async def start_helper(self, name: str, *arguments: str) -> None:
+        """Starts another process and waits until its port answers."""
+        self._helpers.append(await self.spawn(name, *arguments))
+        address = arguments[arguments.index("--address") + 1]
+        host, _, port = address.rpartition(":")
+        until_s = time.monotonic() + _START_PATIENCE_S
+        while time.monotonic() < until_s:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(_POLL_S)
+                continue
+            writer.close()
+            return
+        raise TimeoutError(f"{name} does not answer at {address}.")
+
     async def wait_until_known(self, count: int) -> None:
         """Waits until every node is ready and knows `count` members."""
         until_s = time.monotonic() + _START_PATIENCE_S
@@ -309,7 +349,9 @@
         """Ends everything that this cluster started."""
         if self._session is not None:
             await self._session.close()
-        processes = [self.platform_process]
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        processes = [self.platform_process, *self._helpers]
         for machine in self.machines:
             processes += [machine.backend_process, machine.node_process]
         for process in processes:
@@ -323,9 +365,10 @@
         for log in self._logs:
             log.close()
 
-    async def _spawn(
+    async def spawn(
         self, name: str, module: str, *arguments: str
     ) -> asyncio.subprocess.Process:
+        """Starts a module as a process that logs to a file."""
         log = (self.directory / f"{name}.log").open("ab")
         self._logs.append(log)
         return await asyncio.create_subprocess_exec(
--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/scenario.py
@@ -0,0 +1,106 @@
+"""Scenarios: a load in three phases, and what goes wrong in the middle."""
+
+import pathlib
+from typing import Any
+
+import pydantic
+import yaml
+
+from burdockfront import errors
+from burdockfront import policy
+
+_DIRECTORY = pathlib.Path(__file__).parent / "scenarios"
+
+# Baselines are switches of policy, not other code.
+CONTROLS: dict[str, dict[str, object]] = {
+    "none": {
+        "admission.kind": "none",
+        "retry.kind": "layers",
+        "retry.allowance": 3,
+    },
+    "hop": {
+        "admission.kind": "limit",
+        "retry.kind": "hop",
+        "retry.allowance": 3,
+    },
+    "burdockfront": {},
+}
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Fault(_Model):
+    """Something that goes wrong at the begin of the trigger.
+
+    Attributes:
+        kind: Name of a registered fault (see `faults`).
+        service: The service it hits.
+        count: How many of its backend servers.
+        factor: How much slower, for `slow`.
+        slots: What a lie says, for `lie`.
+        until_s: Undone so long after the begin of the trigger; by default
+            at its end.
+    """
+
+    kind: str
+    service: str
+    count: int = 1
+    factor: float = 5.0
+    slots: int = 40
+    until_s: float | None = None
+
+
+class Scenario(_Model):
+    """One experiment.
+
+    Attributes:
+        name: Its name.
+        about: What happens, in a sentence.
+        base_per_s: Load before and after the trigger.
+        surge: Load during the trigger, as a multiple.
+        repeats: How often callers repeat at once during the trigger.
+        before_s: Length of the phase before the trigger.
+        trigger_s: Length of the trigger.
+        after_s: Length of the phase after it.
+        faults: What goes wrong.
+        proxied: Nodes talk through a fault-injecting proxy.
+    """
+
+    name: str
+    about: str
+    base_per_s: float = 160.0
+    surge: float = 1.0
+    repeats: int = 0
+    before_s: float = 6.0
+    trigger_s: float = 10.0
+    after_s: float = 8.0
+    faults: list[Fault] = []
+    proxied: bool = False
+
+
+def names() -> list[str]:
+    """Returns the names of all scenarios that ship with the bench."""
+    return sorted(path.stem for path in _DIRECTORY.glob("*.yaml"))
+
+
+def load(name: str) -> Scenario:
+    """Reads a scenario by name, or from a path.
+
+    Raises:
+        SettingsError: There is none, or it is not valid.
+    """
+    path = _DIRECTORY / f"{name}.yaml"
+    if not path.exists():
+        path = pathlib.Path(name)
+    if not path.exists():
+        raise errors.SettingsError(
+            f"no scenario {name!r}; give a path, or one of "
+            f"{', '.join(names())}."
+        )
+    document: Any = yaml.safe_load(path.read_text())
+    try:
+        return Scenario.model_validate(document)
+    except pydantic.ValidationError as error:
+        raise errors.SettingsError(policy.explain(str(path), error)) from None
--- a/packages/burdockfront-bench/src/burdockfront_bench/standins/backend.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/backend.py
@@ -19,6 +19,7 @@
 import aiohttp
 import cyclopts
 import orjson
+import uvloop
 import yarl
 
 from burdockfront import context as context_lib
@@ -114,6 +115,7 @@
         self._lied_load: float | None = None
         self.counts = Counts()
         self.runs: dict[str, int] = {}
+        self.work: dict[str, list[float]] = {}
         self._caller: aiohttp.ClientSession | None = None
         self._embedded: embedded_lib.EmbeddedRouter | None = None
 
@@ -188,13 +190,16 @@
         started_s = time.monotonic()
         finished = False
         try:
-            await asyncio.sleep(self._work_s(route))
+            work_s = self._work_s(route)
+            if work_s:
+                await asyncio.sleep(work_s)
             done = await self._deeper(request, route, echo)
             finished = done.status < 400
             return done
         finally:
             spent_s = time.monotonic() - started_s
             self.counts.busy_s += spent_s
+            self._note_work(request, spent_s)
             if finished:
                 self.counts.finished += 1
             else:
@@ -206,7 +211,16 @@
         if key is not None:
             self.runs[key] = self.runs.get(key, 0) + 1
 
+    def _note_work(self, request: asgi.Request, spent_s: float) -> None:
+        """Notes starts and slot-seconds by whole request."""
+        attempt = request.header(wire.ATTEMPT.lower()) or ""
+        noted = self.work.setdefault(attempt.partition(".")[0], [0, 0.0])
+        noted[0] += 1
+        noted[1] += spent_s
+
     def _work_s(self, route: Route) -> float:
+        if route.work_s == 0.0:
+            return 0.0
         half_s = route.work_s / 2
         drawn_s = half_s + self._rng.expovariate(1 / half_s)
         return self._slow * min(drawn_s, 3 * route.work_s)
@@ -272,6 +286,7 @@
         document = {
             "counts": dataclasses.asdict(self.counts),
             "runs": self.runs,
+            "work": self.work,
         }
         await asgi.respond(send, 200, [], orjson.dumps(document))
 
@@ -327,7 +342,7 @@
         spec: JSON file of a `Spec`.
     """
     data = orjson.loads(spec.read_bytes())
-    asyncio.run(Backend(spec_from_json(data)).run())
+    uvloop.run(Backend(spec_from_json(data)).run())
 
 
 if __name__ == "__main__":
--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -15,6 +15,7 @@
 import asyncio
 import dataclasses
 import ssl
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import aiohttp
@@ -76,7 +77,7 @@
         address: str,
         method: str,
         target: str,
-        headers: Mapping[str, str] | list[tuple[str, str]],
+        headers: Mapping[str, str] | Iterable[tuple[str, str]],
         body: bytes,
         timeout_s: float,
         limit_bytes: int,
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -5,6 +5,8 @@
 because each header costs time in every layer.
 """
 
+from collections.abc import Iterable
+
 import orjson
 
 from burdockfront import errors
@@ -44,19 +46,20 @@
 
 
 def end_to_end(
-    headers: list[tuple[str, str]],
+    headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     """Returns the headers that travel on.
 
     Internal headers are dropped too: whatever a caller or a backend server
     sets there must not be taken for the word of a node.
     """
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP
-        and not name.lower().startswith(_INTERNAL_PREFIX)
-    )
+    kept = []
+    for pair in headers:
+        name = pair[0].lower()
+        if name in _HOP_BY_HOP or name.startswith(_INTERNAL_PREFIX):
+            continue
+        kept.append(pair)
+    return tuple(kept)
 
 
 def encode_answer(answer: outcomes.Answer, attempt_id: str, stamp: int) -> str:
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -79,7 +79,7 @@
             incarnation=int(time.time() * 1000),
             revision=0,
             status=membership_lib.Status.ALIVE,
-            address=settings.internal_address,
+            address=settings.advertised_address or settings.internal_address,
             data_center=settings.data_center,
             region=settings.region,
         )
@@ -297,8 +297,8 @@
             addresses = [*self._settings.seeds, *await self._seeds.read()]
             unique = list(dict.fromkeys(addresses))
             known = await self._exchange.join(unique) > 0 or known
-            alone = self._platform is None and not self._settings.seeds
-            if known or alone:
+            # Without a platform service there are no operators' documents.
+            if known or self._platform is None:
                 self._ready.set()
                 self._recorder.record(time.time(), "node.ready")
                 _LOG.info("ready")
--- a/packages/burdockfront-node/src/burdockfront_node/main.py
+++ b/packages/burdockfront-node/src/burdockfront_node/main.py
@@ -1,5 +1,6 @@
 """Command line of the node daemon."""
 
+import gc
 import os
 import pathlib
 import sys
@@ -53,7 +54,12 @@
 
 
 async def _run(loaded: settings_lib.NodeSettings, path: pathlib.Path) -> None:
-    await daemon_lib.Daemon(loaded, path).run()
+    daemon = daemon_lib.Daemon(loaded, path)
+    # What was imported and wired stays for the life of the process; without
+    # this each full collection walks all of it and holds up the calls.
+    gc.collect()
+    gc.freeze()
+    await daemon.run()
 
 
 def _load(path: pathlib.Path) -> settings_lib.NodeSettings:
--- a/packages/burdockfront-node/src/burdockfront_node/servers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/servers.py
@@ -37,6 +37,7 @@
         log_config=None,
         server_header=False,
         date_header=False,
+        proxy_headers=False,
         backlog=_BACKLOG,
         timeout_keep_alive=_KEEP_ALIVE_S,
         timeout_graceful_shutdown=2,
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -73,6 +73,7 @@
     region: _Name = "default"
     caller_address: Address
     internal_address: Address
+    advertised_address: Address | None = None
     peer_keys: list[_Key] = pydantic.Field(min_length=1)
     operator_keys: list[_Key] = pydantic.Field(min_length=1)
     seeds: list[Address] = []
--- a/packages/burdockfront/src/burdockfront/keyring.py
+++ b/packages/burdockfront/src/burdockfront/keyring.py
@@ -29,20 +29,20 @@
         """
         _check(keys)
         self._keys = tuple(key.encode() for key in keys)
-        self._signers = tuple(
-            hmac.new(key, digestmod=hashlib.sha256) for key in self._keys
+        self._mac_keys = tuple(
+            hashlib.sha256(key).digest() for key in self._keys
         )
 
     def sign(self, payload: bytes) -> str:
         """Returns the hexadecimal tag of a payload."""
-        return _tag(self._signers[0], payload)
+        return _tag(self._mac_keys[0], payload)
 
     def verify(self, payload: bytes, tag: str) -> bool:
         """Tells whether any key made this tag, in constant time per key."""
         given = tag.encode()
         valid = False
-        for signer in self._signers:
-            expected = _tag(signer, payload).encode()
+        for mac_key in self._mac_keys:
+            expected = _tag(mac_key, payload).encode()
             valid |= hmac.compare_digest(expected, given)
         return valid
 
@@ -75,7 +75,8 @@
             )
 
 
-def _tag(signer: hmac.HMAC, payload: bytes) -> str:
-    signer = signer.copy()
-    signer.update(payload)
-    return signer.hexdigest()[: 2 * _TAG_BYTES]
+def _tag(mac_key: bytes, payload: bytes) -> str:
+    """Returns a keyed BLAKE2b tag, cheaper than an HMAC object here."""
+    return hashlib.blake2b(
+        payload, key=mac_key, digest_size=_TAG_BYTES
+    ).hexdigest()
--- a/packages/burdockfront/src/burdockfront/policy.py
+++ b/packages/burdockfront/src/burdockfront/policy.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -173,8 +174,12 @@
     )
 
 
+@functools.lru_cache(maxsize=1024)
 def default(service: str) -> Policy:
-    """Returns the policy of a service that has no document yet."""
+    """Returns the policy of a service that has no document yet.
+
+    Kept, because it is asked for several times per call.
+    """
     return parse({"service": service})
 
 
