Levels follow busy slots; entries leave the boundary to the guard

Cause: at a 3x surge the first control refused at base load (it took M/M/1 bursts for a standing queue and cut to single requests' priorities), then swung between a fifth and all of its capacity, and dropped confirmations because enrolment's slots were held by requests waiting in the queue of fees. Ruled out: routing (ejections none), deadlines (no unknown), node processor. Tried and dropped on the way: doubling steps (swing of 2.5 s period); levels per guard at the entry (too few answers per guard); a target of 90% busy for a single slot (waits of nine service times). Also found: calls that merely entered at a node lowered its own path level.

--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -105,8 +105,13 @@
     async def call(self, call: calls.Call) -> outcomes.Answer:
         """Brings a call to its final answer."""
         self.counters.calls += 1
-        class_name = call.context.class_name
-        self.book.called(class_name, call.service, time.monotonic())
+        if call.context.depth > 0:
+            # Only calls of our own backend server lie below its requests. A
+            # request that merely enters here would pull the level of its
+            # service into that of another one.
+            self.book.called(
+                call.context.class_name, call.service, time.monotonic()
+            )
         self._ratio(call.service).first_try()
         if call.ticket is not None:
             return await self._call_owner(call, call.ticket)
@@ -270,24 +275,20 @@
             target = self.router.choose(call.service, frozenset(), now_s)
         if target is None:
             return self._no_target(call, progress)
-        if self._would_die(call, target, now_s):
+        if self._would_die(call, now_s):
             self.counters.early_refusals += 1
             return outcomes.not_run(
                 outcomes.Reason.OVERLOAD_DEEPER, admission.RETRY_AFTER_S
             )
         return target
 
-    def _would_die(
-        self, call: calls.Call, target: routing.Target, now_s: float
-    ) -> bool:
-        """Whether a new request is above the level of the chosen path."""
+    def _would_die(self, call: calls.Call, now_s: float) -> bool:
+        """Whether a new request is above the level of its path."""
         context = call.context
         if context.depth > 0:
             return False
-        level = self.book.level_of(
-            call.service, context.class_name, target.node_id, now_s
-        )
-        return context.priority > level
+        level = self.book.level_of(call.service, context.class_name, now_s)
+        return context.priority > level + levels.ENTRY_SLACK
 
     def _no_target(
         self, call: calls.Call, progress: _Progress
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -164,7 +164,6 @@
             self._book.hear(
                 call.service,
                 call.context.class_name,
-                target.node_id,
                 answer.level,
                 now_s,
             )
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -28,10 +28,11 @@
 
 KINDS = registry.Registry("admission kind")
 
-_WINDOW_S = 0.1
+_WINDOW_S = 0.2
 _TARGET_SHARE = 0.25
 _SERVICE_TIME_WEIGHT = 0.1
 _MIN_QUEUE = 2
+_TOP_RANK_PATIENCE = 4
 # What a refused caller is told: long enough that repeats don't add to the
 # load that caused the refusal, short enough for the recovery aim of seconds.
 RETRY_AFTER_S = 1.0
@@ -57,6 +58,7 @@
 class _Waiting:
     item_id: str
     order: tuple[int, ...]
+    priority: int
     arrived_s: float
     give_up_s: float
     gone: bool = False
@@ -110,6 +112,9 @@
         self._by_id: dict[str, _Waiting] = {}
         self._sequence = itertools.count()
         self._service_s = 0.05
+        self._busy_slot_s = 0.0
+        self._counted_s = now_s
+        self._window_begin_s = now_s
 
     def offer(
         self, item_id: str, context: context_lib.RequestContext, now_s: float
@@ -123,8 +128,9 @@
         waiting = _Waiting(
             item_id,
             self._order(context),
+            context.priority,
             now_s,
-            now_s + min(self._policy.queue_s, context.remaining_s),
+            now_s + self._patience_s(context),
         )
         self._by_id[item_id] = waiting
         heapq.heappush(
@@ -136,6 +142,7 @@
     def release(self, service_s: float, now_s: float) -> Step:
         """Frees a slot, learns the service time, starts the next."""
         assert self.in_use > 0, "a slot is released once"
+        self._count_busy(now_s)
         self.in_use -= 1
         self._service_s += _SERVICE_TIME_WEIGHT * (service_s - self._service_s)
         refused = self._give_up(now_s)
@@ -169,6 +176,9 @@
         self._policy = new
         self._limit.set_ramp(new.ramp_s)
 
+    def _patience_s(self, context: context_lib.RequestContext) -> float:
+        return min(self._policy.queue_s, context.remaining_s)
+
     def _order(self, context: context_lib.RequestContext) -> tuple[int, ...]:
         raise NotImplementedError
 
@@ -181,7 +191,7 @@
     def _waited(self, delay_s: float) -> None:
         pass
 
-    def _dropped(self) -> None:
+    def _dropped(self, priority: int) -> None:
         pass
 
     def _refuse_new(self, item_id: str, reason: outcomes.Reason) -> Step:
@@ -190,6 +200,7 @@
 
     def _start(self, now_s: float) -> tuple[str, ...]:
         started = []
+        self._count_busy(now_s)
         limit = self._limit.current(now_s)
         while self._heap and self.in_use < limit:
             _, _, waiting = heapq.heappop(self._heap)
@@ -201,6 +212,19 @@
             started.append(waiting.item_id)
         return tuple(started)
 
+    def _count_busy(self, now_s: float) -> None:
+        self._busy_slot_s += self.in_use * (now_s - self._counted_s)
+        self._counted_s = now_s
+
+    def _busy_share(self, now_s: float) -> float:
+        """Returns the share of slots in use since the last question."""
+        self._count_busy(now_s)
+        elapsed_s = max(1e-6, now_s - self._window_begin_s)
+        share = self._busy_slot_s / elapsed_s / self._limit.current(now_s)
+        self._busy_slot_s = 0.0
+        self._window_begin_s = now_s
+        return share
+
     def _give_up(self, now_s: float) -> tuple[Refusal, ...]:
         late = [w for w in self._by_id.values() if w.give_up_s <= now_s]
         return tuple(self._refuse(waiting) for waiting in late)
@@ -219,7 +243,7 @@
     def _refuse(self, waiting: _Waiting) -> Refusal:
         del self._by_id[waiting.item_id]
         waiting.gone = True
-        self._dropped()
+        self._dropped(waiting.priority)
         answer = outcomes.not_run(outcomes.Reason.OVERLOAD, RETRY_AFTER_S)
         return Refusal(waiting.item_id, answer)
 
@@ -242,7 +266,9 @@
     def advance(self, now_s: float) -> Step:
         """Also sets the level at the end of each window."""
         step = super().advance(now_s)
-        self._control.advance(now_s)
+        if self._control.over(now_s):
+            slots = self._limit.current(now_s)
+            self._control.advance(self._busy_share(now_s), slots, now_s)
         return step
 
     def level(self) -> int:
@@ -258,6 +284,19 @@
         new_work = 1 if context.depth == 0 else 0
         return (context.rank, new_work, context.ordinal)
 
+    def _patience_s(self, context: context_lib.RequestContext) -> float:
+        """The most important requests may wait longer.
+
+        They are first in the queue, so they wait long only while slots are
+        held by requests that wait in a deeper service themselves. Dropping
+        a confirmation for that would shed it before the browsing that holds
+        the slots.
+        """
+        if context.rank > 0:
+            return super()._patience_s(context)
+        longest_s = self._policy.queue_s * _TOP_RANK_PATIENCE
+        return min(longest_s, context.remaining_s / 2)
+
     def _above_level(self, context: context_lib.RequestContext) -> bool:
         # Calls from upper layers are paid for: only the queue refuses them.
         return context.depth == 0 and context.priority > self._control.level
@@ -268,8 +307,8 @@
     def _waited(self, delay_s: float) -> None:
         self._control.waited(delay_s)
 
-    def _dropped(self) -> None:
-        self._control.dropped()
+    def _dropped(self, priority: int) -> None:
+        self._control.dropped(priority)
 
 
 @KINDS.register("limit")
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -4,35 +4,60 @@
 serve at once instead of letting it wait and die. Levels flow back on answers:
 an entry refuses early what would die deep, before any work is spent on it.
 
-`LevelControl` is the guard's side. In each window it looks at the queueing
-delay that admitted requests met. Above the target it lowers the level by the
-histogram of what it admitted, as far as is needed for the excess. Below, it
-raises the level by a step that doubles with each good window: recovery from
-the lowest level takes about ten windows, and an overshoot costs little,
-because what is admitted too much is refused from the queue without running.
+`LevelControl` is the guard's side. Each window it looks at what the queue did
+and how busy the slots were. Then
+
+* pressure (requests were dropped, or a queue stood the whole window: even the
+  shortest wait was above the target) lowers the level by the share that was
+  dropped, but never below the rank of what was dropped: a class is not
+  refused in advance while the queue still serves all of it;
+* no pressure raises it in proportion to the slots that were left idle. In a
+  lasting overload slots are nearly busy and the level nearly stands; when the
+  overload ends they fall idle and it opens within seconds.
+
+What was tried before and failed: cutting to the priority of single requests
+(with tens of requests per second positions say little, it refused at base
+load), and raising in steps that double (all guards swung together between a
+fifth and the whole of their capacity, with a period of 2.5 s).
 
 `LevelBook` is the asking side: what each service's guards said last. What it
 says fades with age, so that a level never outlives its cause even if no
-answer corrects it.
+answer corrects it. It keeps one smoothed level per service and class: a
+router hears from one guard too seldom to judge each by its own word. What is
+wrongly let through is refused by the guard, one hop later.
 """
 
 import dataclasses
+import math
 
 from burdockfront import context
 
 OPEN = 8 * context.ORDINALS
-_FIRST_STEP = 4
-_MAX_STEP = 64
-_FADE_AFTER_S = 0.5
+_LEAST_CUT = 0.03
+_MOST_CUT = 0.3
+_IDLE_OF_ONE_SLOT = 0.22
+_MOST_RAISE = 0.25
+_LEAST_RAISE = 2
+_SMOOTHING = 0.5
+# Some requests are always let into the queue: with none, nothing would be
+# learned, and the level would never rise again.
+_LEAST_LEVEL = context.ORDINALS // 8
+_FADE_AFTER_S = 1.0
 _FADE_PER_S = 256.0
 _KEEP_S = 10.0
+_HEARD_WEIGHT = 0.4
+_MOST_RISE = 1.25
+_LEAST_RISE = 16
+# An entry knows levels late: it refuses only what is clearly above, and
+# leaves the boundary to the guard, which knows it exactly.
+ENTRY_SLACK = 64
 
 
 class LevelControl:
     """The level of one guard.
 
     Args:
-        target_s: Mean queueing delay that is still healthy.
+        target_s: A standing queue longer than this is pressure.
         window_s: How often the level is set.
         now_s: The current time.
     """
@@ -42,12 +67,14 @@
         self._window_s = window_s
         self._window_end_s = now_s + window_s
         self._level = OPEN
-        self._step = _FIRST_STEP
-        self._admitted: dict[int, int] = {}
-        self._delay_sum_s = 0.0
-        self._delays = 0
-        self._expired = 0
+        self._busy = 0.0
         self._highest_rank = 1
+        self._admitted = 0
+        self._dropped = 0
+        self._dropped_rank = OPEN
+        self._window_rank = 0
+        self._starts = 0
+        self._shortest_s = math.inf
 
     @property
     def level(self) -> int:
@@ -60,118 +87,130 @@
 
     def admitted(self, priority: int) -> None:
         """Counts a request that was let into the queue."""
-        self._admitted[priority] = self._admitted.get(priority, 0) + 1
+        self._admitted += 1
         rank = priority // context.ORDINALS
         self._highest_rank = max(self._highest_rank, rank)
+        self._window_rank = max(self._window_rank, rank)
 
     def waited(self, delay_s: float) -> None:
         """Records the queueing delay of a request that got a slot."""
-        self._delay_sum_s += delay_s
-        self._delays += 1
+        self._starts += 1
+        self._shortest_s = min(self._shortest_s, delay_s)
 
-    def dropped(self) -> None:
+    def dropped(self, priority: int) -> None:
         """Records that a queued request was refused."""
-        self._expired += 1
+        self._dropped += 1
+        rank = priority // context.ORDINALS
+        self._dropped_rank = min(self._dropped_rank, rank)
+
+    def over(self, now_s: float) -> bool:
+        """Whether the window is over and `advance` is due."""
+        return now_s >= self._window_end_s
 
-    def advance(self, now_s: float) -> bool:
-        """Closes the window when it is over.
+    def advance(self, busy: float, slots: int, now_s: float) -> None:
+        """Closes the window and sets the level.
 
-        Returns:
-            Whether the level changed.
+        Args:
+            busy: Share of the slots that was in use during the window.
+            slots: How many slots there are now.
+            now_s: The current time.
         """
-        if now_s < self._window_end_s:
-            return False
-        before = self._level
-        if self._overloaded():
+        self._busy += _SMOOTHING * (busy - self._busy)
+        if self._dropped or self._queue_stood():
             self._lower()
         else:
-            self._raise()
-        self._admitted.clear()
-        self._delay_sum_s = 0.0
-        self._delays = 0
-        self._expired = 0
+            self._raise(_healthy_busy(slots))
+        self._start_window()
         self._window_end_s = now_s + self._window_s
-        return self._level != before
 
-    def _overloaded(self) -> bool:
-        if self._expired:
-            return True
-        if not self._delays:
-            return False
-        return self._delay_sum_s / self._delays > self._target_s
+    def _start_window(self) -> None:
+        self._admitted = 0
+        self._dropped = 0
+        self._dropped_rank = OPEN
+        self._window_rank = 0
+        self._starts = 0
+        self._shortest_s = math.inf
+
+    def _queue_stood(self) -> bool:
+        return self._starts > 1 and self._shortest_s > self._target_s
 
     def _lower(self) -> None:
-        """Cuts the least important requests that were too many."""
-        self._step = _FIRST_STEP
-        total = sum(self._admitted.values())
-        excess = max(self._expired, total * 0.05)
-        for priority in sorted(self._admitted, reverse=True):
-            if excess <= 0:
-                break
-            excess -= self._admitted[priority]
-            self._level = priority - 1
-        # The most important of all are always let into the queue: with a
-        # level below zero nothing would be admitted, hence nothing learned.
-        self._level = max(self._level, context.ORDINALS // 8)
-
-    def _raise(self) -> None:
-        top = (self._highest_rank + 1) * context.ORDINALS
-        if self._level >= top:
-            self._level = OPEN
+        level = min(self._level, self._top())
+        share = self._dropped / max(1, self._admitted)
+        cut = min(_MOST_CUT, max(_LEAST_CUT, share))
+        rank = self._dropped_rank if self._dropped else self._window_rank
+        floor = max(_LEAST_LEVEL, rank * context.ORDINALS)
+        self._level = max(int(level * (1 - cut)), min(level, floor))
+
+    def _raise(self, healthy_busy: float) -> None:
+        idle = healthy_busy - self._busy
+        if idle <= 0.0:
             return
-        self._level += self._step
-        self._step = min(_MAX_STEP, self._step * 2)
+        share = min(_MOST_RAISE, idle / max(self._busy, 0.01) / 2)
+        raised = self._level + max(_LEAST_RAISE, int(self._level * share))
+        self._level = raised if raised < self._top() else OPEN
+
+    def _top(self) -> int:
+        return (self._highest_rank + 1) * context.ORDINALS
+
+
+def _healthy_busy(slots: int) -> float:
+    """Returns how busy slots may be before waits grow out of hand.
+
+    The wait at a given share of use falls with the number of slots (a single
+    server at 90% makes requests wait nine service times). While they wait
+    they hold slots of the layers above, so a deep service with few slots
+    must be kept further from full: 78% of one slot, 89% of four, 96% of 40.
+    """
+    return 1.0 - _IDLE_OF_ONE_SLOT / math.sqrt(slots)
 
 
 @dataclasses.dataclass(slots=True)
 class _Heard:
-    level: int
+    level: float
     at_s: float
 
 
 class LevelBook:
-    """Levels that guards of other services told us, by service and node."""
+    """Levels that guards of other services told us, by service and class."""
 
     def __init__(self) -> None:
-        self._heard: dict[tuple[str, str, str], _Heard] = {}
+        self._heard: dict[tuple[str, str], _Heard] = {}
         self._called: dict[tuple[str, str], float] = {}
 
     def hear(
-        self,
-        service: str,
-        class_name: str,
-        node_id: str,
-        level: int,
-        now_s: float,
+        self, service: str, class_name: str, level: int, now_s: float
     ) -> None:
         """Takes the path level that came with an answer."""
-        key = (service, class_name, node_id)
-        self._heard[key] = _Heard(level, now_s)
-
-    def level_of(
-        self, service: str, class_name: str, node_id: str, now_s: float
-    ) -> int:
-        """Returns the level of one guard; unheard guards are open."""
-        heard = self._heard.get((service, class_name, node_id))
+        key = (service, class_name)
+        heard = self._heard.get(key)
+        if heard is None:
+            self._heard[key] = _Heard(level, now_s)
+            return
+        # Open means "above everything": averaged as such, one open guard of
+        # four would hide that the other three refuse.
+        capped = min(level, heard.level * _MOST_RISE + _LEAST_RISE)
+        heard.level += _HEARD_WEIGHT * (capped - heard.level)
+        heard.at_s = now_s
+
+    def level_of(self, service: str, class_name: str, now_s: float) -> int:
+        """Returns the level of a service; an unheard one is open."""
+        heard = self._heard.get((service, class_name))
         if heard is None:
             return OPEN
         faded_s = max(0.0, now_s - heard.at_s - _FADE_AFTER_S)
-        return min(OPEN, heard.level + int(faded_s * _FADE_PER_S))
+        return min(OPEN, int(heard.level + faded_s * _FADE_PER_S))
 
     def called(self, class_name: str, service: str, now_s: float) -> None:
         """Notes that requests of a class lead to calls of a service."""
         self._called[(class_name, service)] = now_s
 
     def path_level(self, class_name: str, now_s: float) -> int:
-        """Returns the lowest level below requests of a class.
-
-        For each service that such requests called lately, the mean over its
-        guards counts: the router spreads calls over all of them.
-        """
+        """Returns the lowest level below requests of a class."""
         level = OPEN
         for (name, service), at_s in self._called.items():
             if name == class_name and now_s - at_s < _KEEP_S:
-                level = min(level, self._mean(service, class_name, now_s))
+                level = min(level, self.level_of(service, class_name, now_s))
         return level
 
     def forget(self, now_s: float) -> None:
@@ -186,13 +225,3 @@
             for key, at_s in self._called.items()
             if now_s - at_s < _KEEP_S
         }
-
-    def _mean(self, service: str, class_name: str, now_s: float) -> int:
-        levels = [
-            self.level_of(service, class_name, key[2], now_s)
-            for key in self._heard
-            if key[0] == service and key[1] == class_name
-        ]
-        if not levels:
-            return OPEN
-        return sum(levels) // len(levels)
--- a/packages/burdockfront/src/burdockfront/policy.py
+++ b/packages/burdockfront/src/burdockfront/policy.py
@@ -123,7 +123,7 @@
 
 class _AdmissionModel(_Model):
     kind: Literal["level", "limit", "none"] = "level"
-    queue_s: float = pydantic.Field(default=0.1, gt=0.0, le=10.0)
+    queue_s: float = pydantic.Field(default=0.25, gt=0.0, le=10.0)
     ramp_s: float = pydantic.Field(default=3.0, ge=0.0, le=600.0)
 
 
