--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -36,17 +36,18 @@
 _LEAST_CUT = 0.03
 _MOST_CUT = 0.3
 _IDLE_OF_ONE_SLOT = 0.22
-_MOST_RAISE = 0.25
+_MOST_RAISE = 0.6
 _LEAST_RAISE = 2
 _SMOOTHING = 0.5
+_MEMORY = 0.7
 # Some requests are always let into the queue: with none, nothing would be
 # learned, and the level would never rise again.
 _LEAST_LEVEL = context.ORDINALS // 8
-_FADE_AFTER_S = 1.0
+_FADE_AFTER_S = 0.5
 _FADE_PER_S = 256.0
 _KEEP_S = 10.0
 _HEARD_WEIGHT = 0.4
-_MOST_RISE = 1.25
+_OPENING = 1.5
 _LEAST_RISE = 16
 # An entry knows levels late: it refuses only what is clearly above, and
 # leaves the boundary to the guard, which knows it exactly.
@@ -68,6 +69,10 @@
         self._window_end_s = now_s + window_s
         self._level = OPEN
         self._busy = 0.0
+        # A window of a guard with few slots holds a handful of requests; one
+        # drop among them must not look like a third of the demand.
+        self._recent_admitted = 0.0
+        self._recent_dropped = 0.0
         self._highest_rank = 1
         self._admitted = 0
         self._dropped = 0
@@ -116,6 +121,8 @@
             now_s: The current time.
         """
         self._busy += _SMOOTHING * (busy - self._busy)
+        self._recent_admitted = self._admitted + _MEMORY * self._recent_admitted
+        self._recent_dropped = self._dropped + _MEMORY * self._recent_dropped
         if self._dropped or self._queue_stood():
             self._lower()
         else:
@@ -136,7 +143,7 @@
 
     def _lower(self) -> None:
         level = min(self._level, self._top())
-        share = self._dropped / max(1, self._admitted)
+        share = self._recent_dropped / max(1.0, self._recent_admitted)
         cut = min(_MOST_CUT, max(_LEAST_CUT, share))
         rank = self._dropped_rank if self._dropped else self._window_rank
         floor = max(_LEAST_LEVEL, rank * context.ORDINALS)
@@ -182,16 +189,16 @@
         self, service: str, class_name: str, level: int, now_s: float
     ) -> None:
         """Takes the path level that came with an answer."""
-        key = (service, class_name)
-        heard = self._heard.get(key)
-        if heard is None:
-            self._heard[key] = _Heard(level, now_s)
-            return
-        # Open means "above everything": averaged as such, one open guard of
-        # four would hide that the other three refuse.
-        capped = min(level, heard.level * _MOST_RISE + _LEAST_RISE)
-        heard.level += _HEARD_WEIGHT * (capped - heard.level)
-        heard.at_s = now_s
+        known = float(self.level_of(service, class_name, now_s))
+        if level >= OPEN:
+            # "Open" is not a number to average with: a router that refuses
+            # hears little, and would need many answers to believe it.
+            known = known * _OPENING + _LEAST_RISE
+        elif known >= OPEN:
+            known = level
+        else:
+            known += _HEARD_WEIGHT * (level - known)
+        self._heard[(service, class_name)] = _Heard(min(known, OPEN), now_s)
 
     def level_of(self, service: str, class_name: str, now_s: float) -> int:
         """Returns the level of a service; an unheard one is open."""
