Operators' language and command; baseline admission mended

Change: the order; a fault inside the node answers 'unknown' and is logged. Also: the language (show, why, timeline, history, set, drain, verify) with a grammar, tables, JSON and a picture.

--- /dev/null
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
@@ -0,0 +1,107 @@
+"""Command line of the operators' command."""
+
+import asyncio
+import pathlib
+import secrets
+import sys
+from typing import Annotated
+
+import cyclopts
+
+from burdockfront import errors
+from burdockfront_ctl import commands
+from burdockfront_ctl import language
+from burdockfront_ctl import nodes as nodes_lib
+from burdockfront_ctl import questions
+from burdockfront_ctl import render
+from burdockfront_ctl import settings as settings_lib
+
+app = cyclopts.App(
+    name="burdockfront-ctl",
+    help="Asks what the system does and why, changes its policy, and checks."
+    "\n\nThe language:\n\n"
+    + "\n\n".join(
+        line.strip()
+        for line in (language.__doc__ or "").splitlines()[2:]
+        if line.strip()
+    ),
+)
+
+_EXIT_INCOMPLETE = 1
+_EXIT_BAD_INPUT = 2
+_EXIT_REFUSED = 3
+
+
+@app.default
+def ask(
+    *words: Annotated[str, cyclopts.Parameter(allow_leading_hyphen=False)],
+    settings: pathlib.Path = pathlib.Path("ctl.yaml"),
+    json: bool = False,
+    picture: pathlib.Path | None = None,
+) -> None:
+    """Asks or commands, in the operators' language.
+
+    Examples:
+    burdockfront-ctl show members;
+    burdockfront-ctl set policy enrolment retry.allowance = 1 if revision 12
+
+    Args:
+        words: The command, as words.
+        settings: YAML file with nodes, operator_key and who.
+        json: Print JSON for programs.
+        picture: Also draw the time line into this SVG file.
+    """
+    text = " ".join(words)
+    try:
+        command = language.parse(text)
+        loaded = settings_lib.load(settings)
+        view = asyncio.run(run(loaded, command))
+    except errors.InvalidInputError as error:
+        _fail(error, _EXIT_BAD_INPUT)
+    except errors.BurdockfrontError as error:
+        _fail(error, _EXIT_REFUSED)
+    if picture is not None:
+        render.draw(view, picture)
+    print(render.to_json(view) if json else render.to_text(view))
+    if not view.complete:
+        sys.exit(_EXIT_INCOMPLETE)
+
+
+@app.command(name="new-key")
+def new_key() -> None:
+    """Prints a new key for peer_keys or operator_keys."""
+    print(secrets.token_urlsafe(32))
+
+
+async def run(
+    loaded: settings_lib.CtlSettings, command: language.Command
+) -> render.View:
+    """Carries out one command."""
+    nodes = nodes_lib.Nodes(loaded.nodes, loaded.operator_key)
+    try:
+        match command:
+            case language.Show():
+                return await questions.show(nodes, command)
+            case language.Why():
+                return await questions.why(nodes, command)
+            case language.Timeline():
+                return await questions.time_line(nodes, command)
+            case language.History():
+                return await questions.history(nodes, command)
+            case language.SetPolicy():
+                return await commands.set_policy(nodes, command, loaded.who)
+            case language.Drain():
+                return await commands.drain(nodes, command, loaded.who)
+            case language.Verify():
+                return await commands.verify(nodes, command)
+    finally:
+        await nodes.close()
+
+
+def _fail(error: Exception, status: int) -> None:
+    print(error, file=sys.stderr)
+    sys.exit(status)
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
@@ -0,0 +1,250 @@
+"""Answers questions: what the system does, and why."""
+
+import collections
+from typing import Any
+
+from burdockfront import errors
+from burdockfront import timeline
+from burdockfront_ctl import language
+from burdockfront_ctl import nodes as nodes_lib
+from burdockfront_ctl import render
+
+_MOST_EVENTS = 5_000
+_REASONS = {
+    "overload": "the guard's queue was full or its level was below the "
+    "request's priority: the backend servers of this service are saturated",
+    "overload-deeper": "a deeper service on the path is saturated, so the "
+    "request was refused before any work was spent on it",
+    "deadline": "its deadline could not be met",
+    "draining": "the backend server is leaving",
+    "no-backend": "no backend server announces itself there",
+    "unreachable": "no connection could be made to the backend server",
+    "lost-answer": "it was handed over, and the answer never came",
+    "ticket-needed": "a confirmation came without a ticket",
+    "ticket-bad": "its ticket is for another service or not ours",
+    "ticket-owner-gone": "the node that owned its ticket is gone",
+    "still-running": "it still ran when the caller repeated",
+    "no-such-service": "no node knows this service",
+}
+
+
+async def show(nodes: nodes_lib.Nodes, command: language.Show) -> render.View:
+    """Answers `show`."""
+    match command.what:
+        case "members":
+            members = await nodes.members()
+            columns = ["node", "status", "service", "data_center", "slots"]
+            columns += ["draining", "address"]
+            return render.View("members", columns, members)
+        case "nodes":
+            return await _nodes(nodes)
+        case "levels":
+            return await _levels(nodes)
+        case _:
+            return await _policy(nodes, command.name)
+
+
+async def _nodes(nodes: nodes_lib.Nodes) -> render.View:
+    rows = []
+    for reply in await nodes.ask_all("status", {}):
+        if reply.data is None:
+            rows.append({"node": reply.node, "ready": reply.error})
+            continue
+        data = reply.data
+        rows.append(
+            {
+                **data,
+                "revision": data["gauges"]["policy.revision"],
+                "ejected": ", ".join(data["ejected"]),
+            }
+        )
+    columns = ["node", "service", "ready", "draining", "watching"]
+    columns += ["in_flight", "load", "ejected", "revision"]
+    return render.View("nodes", columns, rows)
+
+
+async def _levels(nodes: nodes_lib.Nodes) -> render.View:
+    rows = []
+    for reply in await nodes.ask_all("status", {}):
+        if reply.data is not None:
+            rows.append({**reply.data, **_refusals(reply.data)})
+    rows.sort(key=lambda row: (str(row["service"]), str(row["node"])))
+    columns = ["service", "node", "level", "load", "handed_over", "refused"]
+    return render.View("levels (2048 = open)", columns, rows)
+
+
+def _refusals(data: dict[str, Any]) -> dict[str, Any]:
+    counters = data["counters"]
+    return {
+        "handed_over": counters["guard.handed_over"],
+        "refused": counters["guard.refused"],
+    }
+
+
+async def _policy(nodes: nodes_lib.Nodes, service: str) -> render.View:
+    found = await nodes.ask_any("policy", {"service": service})
+    rows = [
+        {"field": path, "value": value}
+        for path, value in _flat("", found["document"])
+    ]
+    title = f"policy {service}, revision {found['revision']}"
+    if found["change_id"]:
+        title += f", change {found['change_id']}"
+    return render.View(title, ["field", "value"], rows)
+
+
+def _flat(prefix: str, value: Any) -> list[tuple[str, Any]]:
+    if isinstance(value, dict):
+        return [
+            pair
+            for key, item in value.items()
+            for pair in _flat(f"{prefix}.{key}" if prefix else key, item)
+        ]
+    if isinstance(value, list) and value and isinstance(value[0], dict):
+        return [
+            pair
+            for item in value
+            for pair in _flat(f"{prefix}.{item['name']}", item)
+            if not pair[0].endswith(".name")
+        ]
+    return [(prefix, value)]
+
+
+async def history(
+    nodes: nodes_lib.Nodes, command: language.History
+) -> render.View:
+    """Answers `history`."""
+    found = await nodes.ask_any("history", {"service": command.service})
+    columns = ["when_s", "who", "path", "before", "after", "change_id"]
+    return render.View(f"history of {command.service}", columns, found["lines"])
+
+
+async def events(
+    nodes: nodes_lib.Nodes, wanted: timeline.Filter, most: int
+) -> list[timeline.Event]:
+    """Returns the events of all nodes in causal order."""
+    message = {
+        "request": wanted.request,
+        "node": wanted.node,
+        "data_center": wanted.data_center,
+        "kind": wanted.kind,
+        "most": min(most, _MOST_EVENTS),
+    }
+    parts = []
+    for reply in await nodes.ask_all("events", message):
+        if reply.data is not None:
+            found = reply.data["events"]
+            parts.append([timeline.event_from_json(e) for e in found])
+    return timeline.merge(parts)[-most:]
+
+
+async def time_line(
+    nodes: nodes_lib.Nodes, command: language.Timeline
+) -> render.View:
+    """Answers `timeline`."""
+    wanted = timeline.Filter(
+        command.request, command.node, command.data_center, command.kind
+    )
+    found = await events(nodes, wanted, command.last)
+    return render.of_events("time line", found)
+
+
+async def why(nodes: nodes_lib.Nodes, command: language.Why) -> render.View:
+    """Answers `why`."""
+    match command.kind:
+        case "request":
+            return await _why_request(nodes, command.name)
+        case "class":
+            return await _why_class(nodes, command.name, command.service)
+        case _:
+            return await _why_node(nodes, command.name)
+
+
+async def _why_request(nodes: nodes_lib.Nodes, request: str) -> render.View:
+    wanted = timeline.Filter(request=request)
+    found = await events(nodes, wanted, _MOST_EVENTS)
+    if not found:
+        raise errors.InvalidInputError(
+            f"no node remembers request {request!r}; events are kept in "
+            f"memory only for a while ('events' in the node's settings)."
+        )
+    view = render.of_events(f"request {request}", found)
+    view.remarks.append(_explain_request(found))
+    return view
+
+
+def _explain_request(found: list[timeline.Event]) -> str:
+    ended = [e for e in found if e.kind == "entry.answered"]
+    refused = [e for e in found if e.kind == "call.refused"]
+    if not ended:
+        return "It has not been answered yet, or its caller has gone."
+    outcome = ended[-1].detail["outcome"]
+    reason = ended[-1].detail["reason"]
+    text = f"It ended '{outcome}'"
+    if reason:
+        text += f" ({reason}): {_REASONS.get(reason, reason)}"
+    if refused:
+        last = refused[-1]
+        detail = last.detail
+        text += (
+            f". Last refused by {last.node} for {detail['service']}: "
+            f"{detail['reason']}, priority {detail['priority']} with the "
+            f"guard's level at {detail['level']}"
+        )
+    return text + "."
+
+
+async def _why_class(
+    nodes: nodes_lib.Nodes, class_name: str, service: str
+) -> render.View:
+    wanted = timeline.Filter(kind="call.refused")
+    found = await events(nodes, wanted, _MOST_EVENTS)
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    for event in found:
+        detail = event.detail
+        if (detail["class_name"], detail["service"]) == (class_name, service):
+            counts[(event.node, detail["reason"])] += 1
+    rows = [
+        {
+            "node": node,
+            "reason": reason,
+            "refused": count,
+            "meaning": _REASONS.get(reason, reason),
+        }
+        for (node, reason), count in counts.most_common()
+    ]
+    title = f"refusals of class {class_name} at {service}, as remembered"
+    view = render.View(title, ["node", "reason", "refused", "meaning"], rows)
+    if not rows:
+        view.remarks.append("No guard of this service refused this class.")
+    return view
+
+
+async def _why_node(nodes: nodes_lib.Nodes, name: str) -> render.View:
+    members = {m["node"]: m for m in await nodes.members()}
+    if name not in members:
+        raise errors.InvalidInputError(
+            f"no member {name!r}; 'show members' lists them."
+        )
+    found = await events(nodes, timeline.Filter(), _MOST_EVENTS)
+    about = [
+        e
+        for e in found
+        if e.detail.get("member") == name
+        or e.detail.get("target") == name
+        or (e.node == name and e.kind.split(".")[0] in _ABOUT_A_NODE)
+    ]
+    view = render.of_events(f"node {name}", about[-50:])
+    member = members[name]
+    replies = await nodes.ask_all("status", {})
+    ejecting = [r.node for r in replies if r.data and name in r.data["ejected"]]
+    view.remarks.append(
+        f"{name} is {member['status']}, serves "
+        f"{member['service'] or 'nothing (no backend server announces itself)'}"
+        f"{', draining' if member['draining'] else ''}; ejected by "
+        f"{', '.join(ejecting) or 'nobody'}."
+    )
+    return view
+
+
+_ABOUT_A_NODE = ("backend", "node", "operator", "key")
--- /dev/null
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/render.py
@@ -0,0 +1,127 @@
+"""Shows answers: tables for people, JSON for programs, pictures."""
+
+import dataclasses
+import datetime
+import io
+import pathlib
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+
+import orjson
+import rich.console
+import rich.table
+from matplotlib import pyplot
+
+from burdockfront import timeline
+
+_WIDTH = 160
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """An answer.
+
+    Attributes:
+        title: What it is.
+        columns: Columns of the table, in order.
+        rows: Values by column; may hold more than is shown.
+        remarks: Sentences below the table.
+        events: Events behind it, for the picture.
+        complete: False makes the command exit with status 1.
+    """
+
+    title: str
+    columns: list[str]
+    rows: list[dict[str, Any]]
+    remarks: list[str] = dataclasses.field(default_factory=list)
+    events: list[timeline.Event] = dataclasses.field(default_factory=list)
+    complete: bool = True
+
+
+def of_events(title: str, events: list[timeline.Event]) -> View:
+    """Returns a view of events."""
+    rows = [
+        {
+            "at": _clock(timeline.seconds_of(event.stamp)),
+            "node": event.node,
+            "kind": event.kind,
+            "request": event.request,
+            "detail": " ".join(
+                f"{key}={value}"
+                for key, value in event.detail.items()
+                if value not in ("", None)
+            ),
+        }
+        for event in events
+    ]
+    columns = ["at", "node", "kind", "request", "detail"]
+    return View(title, columns, rows, events=events)
+
+
+def to_text(view: View) -> str:
+    """Returns a table for people."""
+    console = rich.console.Console(
+        width=_WIDTH, record=True, file=io.StringIO()
+    )
+    table = rich.table.Table(title=view.title, title_justify="left")
+    for column in view.columns:
+        table.add_column(column, overflow="fold")
+    for row in view.rows:
+        table.add_row(*(_cell(column, row) for column in view.columns))
+    console.print(table)
+    for remark in view.remarks:
+        console.print(remark, highlight=False)
+    return console.export_text()
+
+
+def to_json(view: View) -> str:
+    """Returns JSON for programs."""
+    document = {
+        "title": view.title,
+        "rows": view.rows,
+        "remarks": view.remarks,
+        "complete": view.complete,
+    }
+    return orjson.dumps(document, option=orjson.OPT_INDENT_2).decode()
+
+
+def draw(view: View, path: pathlib.Path) -> None:
+    """Draws the time line: a lane per node, a mark per event."""
+    lanes = sorted({event.node for event in view.events})
+    kinds = sorted({event.kind for event in view.events})
+    figure, axes = pyplot.subplots(figsize=(11, 1.5 + 0.35 * len(lanes)))
+    start_s = min(
+        (timeline.seconds_of(e.stamp) for e in view.events), default=0.0
+    )
+    for kind in kinds:
+        chosen = [e for e in view.events if e.kind == kind]
+        axes.scatter(
+            [timeline.seconds_of(e.stamp) - start_s for e in chosen],
+            [lanes.index(e.node) for e in chosen],
+            label=kind,
+            s=18,
+        )
+    axes.set_yticks(range(len(lanes)), lanes)
+    axes.set_xlabel("seconds")
+    axes.set_title(view.title)
+    axes.legend(loc="center left", bbox_to_anchor=(1.0, 0.5), fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def _cell(column: str, row: dict[str, Any]) -> str:
+    value = row.get(column, "")
+    if value is None:
+        return ""
+    if column.endswith("_s") and isinstance(value, float) and value > 1e9:
+        return _clock(value)
+    return str(value)
+
+
+def _clock(wall_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
+    return moment.strftime("%H:%M:%S.%f")[:-3]
--- a/packages/burdockfront-node/src/burdockfront_node/entry.py
+++ b/packages/burdockfront-node/src/burdockfront_node/entry.py
@@ -1,6 +1,7 @@
 """The callers' port: plain HTTP in, one whole answer out."""
 
 import asyncio
+import logging
 
 import orjson
 
@@ -13,6 +14,7 @@
 from burdockfront_node.filters import base
 from burdockfront_node.internal import asgi
 
+_LOG = logging.getLogger(__name__)
 _TICKETS = "/tickets/"
 _HEALTH = "/health"
 _LARGEST_BODY_BYTES = 16_000_000
@@ -85,6 +87,11 @@
             errors.TicketError,
         ) as error:
             return problems.of_error(error)
+        except Exception:
+            # A fault of ours must not look like an answer of the service:
+            # without an outcome the caller could not tell what ran.
+            _LOG.exception("a request failed inside the node")
+            return outcomes.unknown(outcomes.Reason.LOST_ANSWER, 1.0)
 
     def _health(self) -> outcomes.Answer:
         ready = self._ready.is_set()
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -323,6 +323,9 @@
 class NoAdmission(_QueueAdmission):
     """Baseline: everything goes to the backend server at once."""
 
+    def _order(self, context: context_lib.RequestContext) -> tuple[int, ...]:
+        return ()
+
     def _start(self, now_s: float) -> tuple[str, ...]:
         started = tuple(w.item_id for _, _, w in self._heap if not w.gone)
         self._heap.clear()
