Tests: pure decisions against oracles, and process tests with behave

Cause: nothing was held by a test yet. Found by the first run: an embedded router that had just started refused calls because it had not asked its node yet; it asks now before it refuses.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Process tests: what callers and operators see, under failures."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,48 @@
+"""One system of real processes per scenario, in an event loop of its own.
+
+Tags choose the layout: `@proxied` puts a fault-injecting proxy before each
+node, `@two-data-centers` spreads the nodes, `@embedded` embeds the router in
+the backend servers.
+"""
+
+import asyncio
+import pathlib
+import tempfile
+import threading
+
+from burdockfront_bench import cluster as cluster_lib
+from features import worlds
+
+
+def before_all(context):
+    context.loop = asyncio.new_event_loop()
+    context.thread = threading.Thread(
+        target=context.loop.run_forever, daemon=True
+    )
+    context.thread.start()
+
+
+def after_all(context):
+    context.loop.call_soon_threadsafe(context.loop.stop)
+    context.thread.join()
+    context.loop.close()
+
+
+def before_scenario(context, scenario):
+    tags = scenario.effective_tags
+    context.directory = tempfile.TemporaryDirectory(prefix="burdockfront-")
+    layout = cluster_lib.Layout(
+        services=worlds.services(),
+        data_centers=["dc1", "dc2"] if "two-data-centers" in tags else ["dc1"],
+        embedded="embedded" in tags,
+        proxied="proxied" in tags,
+        node_settings={"gossip": {"period_s": 0.3}},
+    )
+    cluster = cluster_lib.Cluster(layout, pathlib.Path(context.directory.name))
+    context.world = worlds.World(context.loop, cluster)
+    context.world.run(cluster.start())
+
+
+def after_scenario(context, scenario):
+    context.world.run(context.world.end())
+    context.directory.cleanup()
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the process tests."""
--- /dev/null
+++ b/features/steps/faults.py
@@ -0,0 +1,351 @@
+"""Steps that make parts fail, and steps that see what members believe."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features import worlds
+
+_DRAIN_GRACE_S = 2.5
+
+
+def _others(world, name):
+    return [m.name for m in world.cluster.machines if m.name != name]
+
+
+def _routes_to(world, at, name):
+    member = world.members(at).get(name)
+    if member is None or member["status"] not in ("alive", "suspect"):
+        return False
+    return bool(member["service"]) and not member["draining"]
+
+
+@when("the node that owns the ticket is killed")
+def kill_owner(context):
+    context.world.kill(context.world.owner_of_ticket())
+
+
+@when("the node that owns the ticket is killed and started again")
+def replace_owner(context):
+    world = context.world
+    name = world.owner_of_ticket()
+    world.kill(name)
+    machine = world.machine(name)
+    world.run(machine.node_process.wait())
+    world.run(world.cluster.start_node(machine))
+    for other in _others(world, ""):
+        worlds.eventually(
+            lambda other=other: _routes_to(world, other, name),
+            f"{other} routes to the new {name}",
+        )
+
+
+@given("the node that owns the ticket is frozen")
+def freeze_owner(context):
+    context.world.freeze(context.world.owner_of_ticket())
+
+
+@when("the node that owns the ticket wakes")
+def wake_owner(context):
+    world = context.world
+    name = world.owner_of_ticket()
+    world.wake(name)
+    for other in _others(world, name):
+        worlds.eventually(
+            lambda other=other: _routes_to(world, other, name),
+            f"{other} routes to {name}",
+        )
+
+
+def _owner_rules(world):
+    return world.cluster.proxies[world.owner_of_ticket()]
+
+
+@when("answers of the ticket's owner are cut after {size:d} bytes")
+def cut_answers(context, size):
+    proxy = _owner_rules(context.world)
+    proxy.rules.cut_after_bytes = size
+    proxy.cut_open_connections()
+
+
+@when("answers of the ticket's owner pass again")
+def pass_answers(context):
+    proxy = _owner_rules(context.world)
+    proxy.rules.cut_after_bytes = None
+    world = context.world
+    name = world.owner_of_ticket()
+    for other in _others(world, name):
+        worlds.eventually(
+            lambda other=other: _routes_to(world, other, name),
+            f"{other} routes to {name}",
+        )
+
+
+@when("nobody reaches the ticket's owner")
+def partition_owner(context):
+    proxy = _owner_rules(context.world)
+    proxy.rules.refuse = True
+    proxy.cut_open_connections()
+
+
+@when("the partition heals")
+def heal_owner(context):
+    _owner_rules(context.world).rules.refuse = False
+
+
+@given("the platform service is down")
+@when("the platform service is down")
+def platform_down(context):
+    context.world.run(context.world.cluster.control_platform(down=True))
+
+
+@when("the platform service is up again")
+def platform_up(context):
+    context.world.run(context.world.cluster.control_platform(down=False))
+
+
+@when("the backend server of {name} is stopped as planned")
+def stop_backend(context, name):
+    context.world.stop(name, "backend")
+
+
+@when("the node {name} is stopped as planned")
+def stop_node(context, name):
+    context.world.stop(name, "node")
+
+
+@then("no node routes to {name} any more")
+def nobody_routes(context, name):
+    world = context.world
+    for other in _others(world, name):
+        worlds.eventually(
+            lambda other=other: not _routes_to(world, other, name),
+            f"{other} no longer routes to {name}",
+        )
+
+
+@then("every node routes to {name} again")
+def everybody_routes(context, name):
+    world = context.world
+    for other in _others(world, ""):
+        worlds.eventually(
+            lambda other=other: _routes_to(world, other, name),
+            f"{other} routes to {name}",
+        )
+
+
+@then("new requests start nothing at {name}")
+def nothing_new(context, name):
+    world = context.world
+    before = world.status(name)["counters"]["guard.handed_over"]
+    for number in range(20):
+        node = _others(world, name)[number % 4]
+        seen = world.run(world.send(node, "GET", "/enrolment/overview"))
+        assert seen.outcome == "done", seen
+    after = world.status(name)["counters"]["guard.handed_over"]
+    assert after == before, (before, after)
+
+
+@when("the operator drains the owner of the ticket and its grace is over")
+def drain_owner(context):
+    world = context.world
+    world.command(f"drain {world.owner_of_ticket()}")
+    time.sleep(_DRAIN_GRACE_S)
+
+
+@when("the machine {name} is killed")
+def kill_machine(context, name):
+    world = context.world
+    machine = world.machine(name)
+    for what in ("node", "backend"):
+        world.kill(name, what)
+    world.run(machine.node_process.wait())
+    world.run(machine.backend_process.wait())
+
+
+@when("the machine {name} is started again")
+def start_machine(context, name):
+    world = context.world
+    machine = world.machine(name)
+    world.run(world.cluster.start_node(machine))
+    world.run(world.cluster.start_backend(machine))
+    for other in _others(world, ""):
+        worlds.eventually(
+            lambda other=other: (
+                _answers(world, other) and _routes_to(world, other, name)
+            ),
+            f"{other} routes to {name}",
+        )
+
+
+def _answers(world, name):
+    try:
+        return world.status(name)["ready"]
+    except OSError:
+        return False
+
+
+@when("all machines are killed and started again")
+def restart_all(context):
+    world = context.world
+    for machine in world.cluster.machines:
+        kill_machine(context, machine.name)
+    for machine in world.cluster.machines:
+        world.run(world.cluster.start_node(machine))
+        world.run(world.cluster.start_backend(machine))
+
+    def all_answer():
+        return all(_responds(world, m.name) for m in world.cluster.machines)
+
+    worlds.eventually(all_answer, "all nodes answer")
+
+
+def _responds(world, name):
+    try:
+        return "ready" in world.status(name)
+    except OSError:
+        return False
+
+
+@then("no node is ready")
+def none_ready(context):
+    world = context.world
+    for machine in world.cluster.machines:
+        assert not world.status(machine.name)["ready"]
+        seen = world.run(world.send(machine.name, "GET", "/enrolment/overview"))
+        assert seen.outcome == "not-run", seen
+
+
+@then("every node is ready")
+def all_ready(context):
+    world = context.world
+    for machine in world.cluster.machines:
+        worlds.eventually(
+            lambda name=machine.name: world.status(name)["ready"],
+            f"{machine.name} is ready",
+        )
+
+
+@then("every node knows that {name} is dead")
+def known_dead(context, name):
+    _known(context.world, name, "dead")
+
+
+@then("every other node knows that {name} is suspect")
+def known_suspect(context, name):
+    world = context.world
+    worlds.eventually(
+        lambda: all(
+            world.members(other)[name]["status"] in ("suspect", "dead")
+            for other in _others(world, name)
+        ),
+        f"{name} is suspected",
+    )
+
+
+def _known(world, name, status):
+    for other in _others(world, name):
+        worlds.eventually(
+            lambda other=other: world.members(other)[name]["status"] == status,
+            f"{other} knows {name} {status}",
+        )
+
+
+@given("the node {name} is frozen")
+def freeze_node(context, name):
+    context.world.freeze(name)
+
+
+@when("the node {name} wakes")
+def wake_node(context, name):
+    context.world.wake(name)
+
+
+@given("the backend server of {name} is frozen")
+def freeze_backend(context, name):
+    context.world.freeze(name, "backend")
+
+
+@when("the backend server of {name} wakes")
+def wake_backend(context, name):
+    context.world.wake(name, "backend")
+
+
+@when("the open connections to every node go silent")
+def silence(context):
+    for proxy in context.world.cluster.proxies.values():
+        proxy.silence_open_connections()
+
+
+@then("the routers retired connections")
+def retired(context):
+    world = context.world
+    total = sum(
+        world.status(m.name)["counters"]["peers.retired"]
+        for m in world.cluster.machines
+    )
+    assert total > 0
+
+
+@when("answers are delayed by up to {delay_s:f} s")
+def delay(context, delay_s):
+    for proxy in context.world.cluster.proxies.values():
+        proxy.rules.delay_s = delay_s
+
+
+@when("the data centres lose each other")
+def lose_each_other(context):
+    # Nodes of dc2 can't be reached by those of dc1 and the other way round.
+    # Proxies can't tell who connects, so the nodes of dc2 stop altogether
+    # being reachable, and those of dc1 too, but for their own data centre's
+    # view this is the same as a cut: each hears nothing from the other.
+    for machine in context.world.cluster.machines:
+        if machine.data_center == "dc2":
+            proxy = context.world.cluster.proxies[machine.name]
+            proxy.rules.refuse = True
+            proxy.cut_open_connections()
+
+
+@then("the nodes of each data centre know the others dead")
+def others_dead(context):
+    world = context.world
+    for machine in world.cluster.machines:
+        if machine.data_center == "dc2":
+            for other in world.cluster.machines:
+                if other.data_center == "dc1":
+                    worlds.eventually(
+                        lambda a=other.name, b=machine.name: (
+                            world.members(a)[b]["status"] == "dead"
+                        ),
+                        f"{other.name} knows {machine.name} dead",
+                    )
+
+
+@when("the data centres reach each other again")
+def reach_again(context):
+    for proxy in context.world.cluster.proxies.values():
+        proxy.rules.refuse = False
+
+
+@then("every node knows every node alive")
+def all_alive(context):
+    world = context.world
+    for machine in world.cluster.machines:
+        worlds.eventually(
+            lambda name=machine.name: all(
+                member["status"] == "alive"
+                for member in world.members(name).values()
+            ),
+            f"{machine.name} knows all alive",
+        )
+
+
+@given("the backend servers of {service} are gone")
+def backends_gone(context, service):
+    world = context.world
+    for machine in world.cluster.of_service(service):
+        world.kill(machine.name, "backend")
+    for machine in world.cluster.of_service(service):
+        nobody_routes(context, machine.name)
--- a/packages/burdockfront-client/src/burdockfront_client/embedded.py
+++ b/packages/burdockfront-client/src/burdockfront_client/embedded.py
@@ -167,6 +167,10 @@
         body: bytes = b"",
     ) -> outcomes.Answer:
         """Calls a deeper service on behalf of this request."""
+        if not self._router.dispatcher.router.targets_of(service):
+            # Just started, or the service is new: ask before refusing.
+            with contextlib.suppress(errors.DispatchError):
+                await self._router.refresh()
         policy = self._router.policy_of(service)
         call = calls.deeper_call(
             self._attempt,
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: unit and property tests here, process tests in features/."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,84 @@
+"""Builders of test data: small, composable, with telling defaults."""
+
+from burdockfront import admission
+from burdockfront import context
+from burdockfront import keyring
+from burdockfront import limits
+from burdockfront import membership
+from burdockfront import outcomes
+from burdockfront import policy
+from burdockfront import routing
+from burdockfront import tickets
+
+KEY = "a-key-for-tests-0123456789"
+
+
+def a_key_ring(*keys: str) -> keyring.KeyRing:
+    return keyring.KeyRing(list(keys) or [KEY])
+
+
+def a_context(**changes: object) -> context.RequestContext:
+    fields = {
+        "request_id": "r-1",
+        "attempt_id": "r-1.n.1",
+        "class_name": "browse",
+        "rank": 1,
+        "ordinal": 100,
+        "depth": 0,
+        "remaining_s": 2.0,
+        "allowance": 2,
+    }
+    return context.RequestContext(**{**fields, **changes})
+
+
+def a_ticket(nonce: str = "t-1", **changes: object) -> tickets.Ticket:
+    fields = {
+        "nonce": nonce,
+        "service": "enrolment",
+        "owner": "n1",
+        "boot_id": "b1",
+        "expires_s": 1000.0,
+    }
+    return tickets.Ticket(**{**fields, **changes})
+
+
+def a_target(node_id: str = "n1", **changes: object) -> routing.Target:
+    fields = {
+        "node_id": node_id,
+        "boot_id": f"{node_id}-boot",
+        "service": "fees",
+        "address": "127.0.0.1:1",
+        "data_center": "dc1",
+        "slots": 4,
+    }
+    return routing.Target(**{**fields, **changes})
+
+
+def a_member(node_id: str = "n1", **changes: object) -> membership.Member:
+    fields = {
+        "node_id": node_id,
+        "boot_id": f"{node_id}-boot",
+        "incarnation": 1,
+        "revision": 0,
+        "status": membership.Status.ALIVE,
+        "address": f"127.0.0.1:{1000 + len(node_id)}",
+        "data_center": "dc1",
+        "region": "r1",
+    }
+    return membership.Member(**{**fields, **changes})
+
+
+def an_admission(
+    kind: str = "level", slots: int = 2, queue_s: float = 0.25
+) -> admission.Admission:
+    rules = policy.AdmissionPolicy(kind=kind, queue_s=queue_s, ramp_s=0.0)
+    limit = limits.ConcurrencyLimit(slots, 0.0, 0.0)
+    return admission.create(rules, limit, 0.0)
+
+
+def a_refusal() -> outcomes.Answer:
+    return outcomes.not_run(outcomes.Reason.OVERLOAD, 1.0)
+
+
+def an_answer(body: bytes = b"whole") -> outcomes.Answer:
+    return outcomes.Answer(outcomes.Outcome.DONE, 200, body=body)
--- /dev/null
+++ b/tests/properties/test_allowance.py
@@ -0,0 +1,106 @@
+"""The retry allowance over a call tree, against a count of all retries.
+
+Calls branch, run in parallel, answers come late, twice or never. Whatever
+happens, the number of retries in the whole tree is at most what the entry
+minted.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from burdockfront import allowance
+
+_MINTED = 5
+
+
+class CallTree(stateful.RuleBasedStateMachine):
+    """Pools of attempts; each attempt knows who lent to it."""
+
+    def __init__(self):
+        super().__init__()
+        self.pools = {"root": allowance.AllowancePool(_MINTED)}
+        self.parents = {}
+        self.answers = []
+        self.spent = 0
+        self.count = 0
+
+    def _pick(self, index):
+        names = sorted(self.pools)
+        return names[index % len(names)]
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def call_deeper(self, index):
+        parent = self._pick(index)
+        self.count += 1
+        name = f"a{self.count}"
+        self.pools[name] = allowance.AllowancePool(
+            self.pools[parent].lend(name)
+        )
+        self.parents[name] = parent
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def retry(self, index):
+        if self.pools[self._pick(index)].spend():
+            self.spent += 1
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def answer_leaves(self, index):
+        name = self._pick(index)
+        if name in self.parents:
+            pool = self.pools.pop(name)
+            self.answers.append((name, self.parents.pop(name), pool.units))
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def answer_arrives(self, index):
+        # Kept in the list: it may arrive a second time.
+        if self.answers:
+            name, parent, units = self.answers[index % len(self.answers)]
+            if parent in self.pools:
+                self.pools[parent].give_back(name, units)
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def answer_is_given_up(self, index):
+        if self.answers:
+            name, parent, _ = self.answers[index % len(self.answers)]
+            if parent in self.pools:
+                self.pools[parent].forfeit(name)
+
+    @stateful.rule(index=strategies.integers(0, 20))
+    def faulty_answer_claims_too_much(self, index):
+        if self.answers:
+            name, parent, _ = self.answers[index % len(self.answers)]
+            if parent in self.pools:
+                self.pools[parent].give_back(name, 100)
+
+    @stateful.invariant()
+    def retries_are_bounded(self):
+        assert self.spent <= _MINTED
+
+    @stateful.invariant()
+    def no_unit_is_in_two_places(self):
+        held = sum(pool.units for pool in self.pools.values())
+        assert held + self.spent <= _MINTED
+
+
+TestCallTree = CallTree.TestCase
+TestCallTree.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.booleans(), max_size=400),
+    strategies.floats(0.0, 0.5),
+)
+@hypothesis.settings(deadline=None, derandomize=True)
+def test_ratio_bounds_retries_of_a_node(steps, share):
+    ratio = allowance.RetryRatio(share)
+    first_tries = retries = 0
+    for is_first in steps:
+        if is_first:
+            first_tries += 1
+            ratio.first_try()
+        else:
+            retries += ratio.retry()
+    assert retries <= 10 + share * first_tries + 1e-6
--- /dev/null
+++ b/tests/properties/test_at_most_once.py
@@ -0,0 +1,128 @@
+"""At most once, against an oracle that counts runs.
+
+Attempts with the same ticket reach owners late, twice and in any order;
+owners restart; answers are lost. The oracle is a list of what ran and of what
+callers were told.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from burdockfront import ledger
+from tests import builders
+
+_NONCES = [f"t{n}" for n in range(4)]
+_LIFETIME_S = 100.0
+
+
+class AtMostOnce(stateful.RuleBasedStateMachine):
+    """One owner that restarts; tickets minted for each of its processes."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.boot = 0
+        self.ledger = self._new_ledger()
+        self.tickets = {}
+        self.runs = dict.fromkeys(_NONCES, 0)
+        self.told_not_run = set()
+        self.reserved = set()
+        self.running = set()
+
+    def _new_ledger(self):
+        return ledger.Ledger("n1", f"b{self.boot}", capacity_bytes=1500)
+
+    @stateful.rule(nonce=strategies.sampled_from(_NONCES))
+    def mint(self, nonce):
+        if nonce not in self.tickets:
+            self.tickets[nonce] = builders.a_ticket(
+                nonce,
+                boot_id=f"b{self.boot}",
+                expires_s=self.now_s + _LIFETIME_S,
+            )
+
+    @stateful.rule(nonce=strategies.sampled_from(_NONCES))
+    def attempt_arrives(self, nonce):
+        if nonce not in self.tickets:
+            return
+        verdict = self.ledger.begin(self.tickets[nonce], self.now_s)
+        if verdict.decision is ledger.Decision.RUN:
+            self.reserved.add(nonce)
+        elif verdict.answer is not None:
+            self._tell(nonce, verdict.answer.outcome)
+
+    @stateful.rule(nonce=strategies.sampled_from(_NONCES))
+    def slot_is_free(self, nonce):
+        if nonce in self.reserved:
+            self.reserved.remove(nonce)
+            self.ledger.hand_over(nonce)
+            self.runs[nonce] += 1
+            self.running.add(nonce)
+
+    @stateful.rule(nonce=strategies.sampled_from(_NONCES))
+    def guard_refuses(self, nonce):
+        if nonce in self.reserved:
+            self.reserved.remove(nonce)
+            self.ledger.close(nonce, builders.a_refusal())
+            self._tell(nonce, "not-run")
+
+    @stateful.rule(nonce=strategies.sampled_from(_NONCES))
+    def guard_moves(self, nonce):
+        if nonce in self.reserved:
+            self.reserved.remove(nonce)
+            self.ledger.move(nonce, "successor")
+
+    @stateful.rule(nonce=strategies.sampled_from(_NONCES))
+    def backend_answers(self, nonce):
+        if nonce in self.running:
+            self.running.remove(nonce)
+            self.ledger.finish(nonce, builders.an_answer(b"x" * 300))
+
+    @stateful.rule()
+    def owner_restarts(self):
+        self.boot += 1
+        self.ledger = self._new_ledger()
+        self.reserved.clear()
+        self.running.clear()
+
+    @stateful.rule(seconds=strategies.sampled_from([1.0, 50.0, 140.0]))
+    def time_passes(self, seconds):
+        self.now_s += seconds
+        if not self.reserved and not self.running:
+            self.ledger.expire(self.now_s)
+
+    def _tell(self, nonce, outcome):
+        if outcome == "not-run":
+            assert self.runs[nonce] == 0, "told not-run of what ran"
+            self.told_not_run.add(nonce)
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        assert all(count <= 1 for count in self.runs.values())
+
+    @stateful.invariant()
+    def not_run_stays_true(self):
+        assert all(self.runs[nonce] == 0 for nonce in self.told_not_run)
+
+
+TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+def test_full_ledger_refuses_rather_than_forgets():
+    # Forgetting an old entry to make room would let its late repeat run.
+    small = ledger.Ledger("n1", "b1", capacity_bytes=400)
+    small.begin(builders.a_ticket("first"), 0.0)
+    verdict = small.begin(builders.a_ticket("second"), 0.0)
+    assert verdict.decision is ledger.Decision.REFUSE
+    assert verdict.answer.outcome == "unknown"
+
+
+def test_other_incarnation_never_runs_a_ticket():
+    restarted = ledger.Ledger("n1", "b2")
+    verdict = restarted.begin(builders.a_ticket(boot_id="b1"), 0.0)
+    assert verdict.decision is ledger.Decision.REFUSE
+    assert verdict.answer.outcome == "unknown"
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pure decisions."""
--- /dev/null
+++ b/tests/unit/test_language.py
@@ -0,0 +1,59 @@
+"""The operators' language: what it takes, and how it points at mistakes."""
+
+import pytest
+
+from burdockfront_ctl import language
+
+
+@pytest.mark.parametrize(
+    ("text", "command"),
+    [
+        ("show members", language.Show("members")),
+        ("show policy fees", language.Show("policy", "fees")),
+        ("why request a-1", language.Why("request", "a-1")),
+        (
+            "why class browse at fees",
+            language.Why("class", "browse", "fees"),
+        ),
+        (
+            "timeline request a-1 dc dc1 last 5",
+            language.Timeline(request="a-1", data_center="dc1", last=5),
+        ),
+        (
+            "set policy fees retry.allowance = 1 if revision 12",
+            language.SetPolicy("fees", "retry.allowance", 1, 12),
+        ),
+        (
+            "set policy fees retry.ratio = 0.25",
+            language.SetPolicy("fees", "retry.ratio", 0.25, None),
+        ),
+        (
+            "set policy fees admission.kind = limit",
+            language.SetPolicy("fees", "admission.kind", "limit", None),
+        ),
+        ("drain fees-1", language.Drain("fees-1", True)),
+        ("undrain fees-1", language.Drain("fees-1", False)),
+        ("verify change c-ab12", language.Verify("c-ab12")),
+        ("history fees", language.History("fees")),
+    ],
+)
+def test_commands(text, command):
+    assert language.parse(text) == command
+
+
+@pytest.mark.parametrize(
+    ("text", "column", "expected"),
+    [
+        ("show memberz", 5, "'members'"),
+        ("drian fees-1", 0, "'drain'"),
+        ("set policy fees retry.ratio 0.2", 28, "'='"),
+        ("why request", 12, "a name"),
+        ("", 1, "'show'"),
+    ],
+)
+def test_mistakes_are_pointed_at(text, column, expected):
+    with pytest.raises(language.LanguageError) as caught:
+        language.parse(text)
+    lines = str(caught.value).split("\n")
+    assert lines[1].index("^") == column
+    assert expected in lines[1]
--- /dev/null
+++ b/tests/unit/test_overload.py
@@ -0,0 +1,192 @@
+"""Admission, levels, limits and routing: decisions under load."""
+
+import random
+
+from burdockfront import context as context_lib
+from burdockfront import levels
+from burdockfront import limits
+from burdockfront import routing
+from tests import builders
+
+
+def test_confirmation_is_served_before_browsing_that_came_first():
+    # Slots are full and browsing waits. A confirmation arrives last and gets
+    # the next slot; first come first served would shed it with the rest.
+    admission = builders.an_admission(slots=1)
+    assert admission.offer("a", builders.a_context(), 0.0).started == ("a",)
+    admission.offer("browse", builders.a_context(), 0.01)
+    admission.offer("confirm", builders.a_context(rank=0), 0.02)
+    assert admission.release(0.05, 0.05).started == ("confirm",)
+
+
+def test_work_already_paid_for_goes_before_new_work():
+    admission = builders.an_admission(slots=1)
+    admission.offer("a", builders.a_context(), 0.0)
+    admission.offer("new", builders.a_context(ordinal=0), 0.01)
+    admission.offer("deep", builders.a_context(depth=2, ordinal=200), 0.02)
+    assert admission.release(0.05, 0.05).started == ("deep",)
+
+
+def test_waiting_too_long_is_refused_with_when_to_come_back():
+    admission = builders.an_admission(slots=1, queue_s=0.1)
+    admission.offer("a", builders.a_context(), 0.0)
+    admission.offer("b", builders.a_context(), 0.0)
+    step = admission.advance(0.11)
+    assert [r.item_id for r in step.refused] == ["b"]
+    assert step.refused[0].answer.retry_after_s > 0
+
+
+def test_expired_request_does_not_run():
+    # Its deadline passed while it waited; running it would waste a slot on
+    # an answer that nobody reads.
+    admission = builders.an_admission(slots=1)
+    admission.offer("a", builders.a_context(), 0.0)
+    admission.offer("b", builders.a_context(remaining_s=0.05), 0.0)
+    step = admission.release(0.06, 0.06)
+    assert step.started == ()
+    assert [r.item_id for r in step.refused] == ["b"]
+
+
+def test_too_long_a_queue_refuses_its_worst_at_once():
+    admission = builders.an_admission(slots=1, queue_s=0.1)
+    admission.offer("a", builders.a_context(), 0.0)
+    refused = []
+    for number in range(20):
+        context = builders.a_context(ordinal=number * 10)
+        step = admission.offer(f"b{number}", context, 0.0)
+        refused += [r.item_id for r in step.refused]
+    assert "b0" not in refused
+    assert "b19" in refused
+
+
+def test_cancelled_request_takes_no_slot():
+    admission = builders.an_admission(slots=1)
+    admission.offer("a", builders.a_context(), 0.0)
+    admission.offer("b", builders.a_context(), 0.0)
+    admission.cancel("b")
+    assert admission.release(0.01, 0.01).started == ()
+    assert admission.in_use == 0
+
+
+def _pressed(control: levels.LevelControl, windows: int, rank: int) -> None:
+    for number in range(windows):
+        for ordinal in range(0, 256, 16):
+            control.admitted(256 + ordinal)
+            control.admitted(ordinal)
+        for _ in range(4):
+            control.dropped(rank * 256 + 200)
+        control.advance(1.0, 4, 0.2 * (number + 1))
+
+
+def test_pressure_refuses_browsing_in_advance_but_no_confirmation():
+    control = levels.LevelControl(0.05, 0.2, 0.0)
+    _pressed(control, 20, rank=1)
+    assert control.level == context_lib.ORDINALS
+
+
+def test_confirmations_are_refused_in_advance_once_they_are_dropped():
+    control = levels.LevelControl(0.05, 0.2, 0.0)
+    _pressed(control, 20, rank=0)
+    assert 0 < control.level < context_lib.ORDINALS
+
+
+def test_level_opens_within_two_seconds_of_idle_slots():
+    control = levels.LevelControl(0.05, 0.2, 0.0)
+    _pressed(control, 20, rank=0)
+    for window in range(10):
+        control.advance(0.4, 4, 10 + 0.2 * window)
+    assert control.level == levels.OPEN
+
+
+def test_level_stands_while_slots_are_busy_without_pressure():
+    control = levels.LevelControl(0.05, 0.2, 0.0)
+    _pressed(control, 3, rank=1)
+    before = control.level
+    for window in range(5):
+        control.advance(0.97, 4, 10 + 0.2 * window)
+    assert control.level == before
+
+
+def test_level_heard_fades_without_news():
+    book = levels.LevelBook()
+    book.hear("fees", "browse", 100, 0.0)
+    assert book.level_of("fees", "browse", 0.1) == 100
+    assert book.level_of("fees", "browse", 9.0) == levels.OPEN
+
+
+def test_path_level_is_the_lowest_below():
+    book = levels.LevelBook()
+    book.called("browse", "fees", 0.0)
+    book.called("browse", "timetable", 0.0)
+    book.hear("fees", "browse", 300, 0.0)
+    book.hear("catalogue", "browse", 10, 0.0)
+    assert book.path_level("browse", 0.1) == 300
+
+
+def test_backend_that_sheds_below_its_slots_gets_less():
+    # It announced 40 slots and serves 8: the announcement lies, its own
+    # refusals don't.
+    limit = limits.ConcurrencyLimit(40, 0.0, 0.0)
+    limit.shed_by_backend(8, 1.0)
+    assert limit.current(1.1) == 7
+    assert limit.current(4.2) == 10
+
+
+def test_cold_start_ramps():
+    limit = limits.ConcurrencyLimit(40, 4.0, 0.0)
+    assert limit.current(0.0) == 4
+    assert limit.current(4.0) == 40
+
+
+def _router(*names: str, **changes: object) -> routing.Router:
+    router = routing.Router("dc1", random.Random(7))
+    router.update(builders.a_target(name, **changes) for name in names)
+    return router
+
+
+def _choices(router: routing.Router, now_s: float, count: int = 200) -> set:
+    found = (router.choose("fees", frozenset(), now_s) for _ in range(count))
+    return {target.node_id for target in found if target is not None}
+
+
+def test_silent_guard_is_ejected_and_probed_back():
+    # Three calls in a row stay without an answer: it is frozen, or the way to
+    # it is. Calls go elsewhere; one probe at a time finds out when it is back.
+    router = _router("a", "b", "c")
+    for _ in range(3):
+        router.sent("a")
+        router.unanswered("a", False, 1.0)
+    assert router.ejected() == ["a"]
+    assert "a" not in _choices(router, 1.1)
+    assert "a" in _choices(router, 3.0, count=1)
+    router.answered("a", 0.0, False, 3.1)
+    assert router.ejected() == []
+
+
+def test_ejection_never_empties_a_service():
+    router = _router("a", "b", "c", "d")
+    for name in "abcd":
+        router.unanswered(name, True, 1.0)
+    assert len(_choices(router, 1.1)) == 2
+
+
+def test_draining_guard_gets_no_new_work():
+    router = _router("a", "b")
+    router.answered("a", 0.0, True, 1.0)
+    assert _choices(router, 2.0) == {"b"}
+
+
+def test_told_load_moves_calls_but_never_all_of_them_by_stale_word():
+    router = _router("a", "b")
+    router.answered("a", 5.0, False, 1.0)
+    assert _choices(router, 1.1) == {"b"}
+    assert _choices(router, 3.0) == {"a", "b"}
+
+
+def test_new_incarnation_starts_with_a_clean_slate():
+    router = _router("a", "b", "c")
+    router.unanswered("a", True, 1.0)
+    router.update(
+        builders.a_target(n, boot_id=f"{n}-second") for n in ("a", "b", "c")
+    )
+    assert router.ejected() == []
--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,65 @@
+"""Settings: a wrong value is named with its path and the remedy."""
+
+import pytest
+
+from burdockfront import errors
+from burdockfront_node import backend
+from burdockfront_node import settings
+
+
+def _document(**changes):
+    document = {
+        "node_id": "fees-1",
+        "data_center": "dc1",
+        "caller_address": "127.0.0.1:7000",
+        "internal_address": "127.0.0.1:7100",
+        "peer_keys": ["a-peer-key-0123456789"],
+        "operator_keys": ["an-operator-key-0123456789"],
+    }
+    return {**document, **changes}
+
+
+def test_defaults_are_filled_in():
+    assert settings.parse(_document(), "x").gossip.period_s == 1.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "message"),
+    [
+        ({"caller_address": "localhost:1"}, "caller_address.*IP number"),
+        ({"peer_keys": ["short"]}, "peer_keys.0"),
+        ({"peer_keys": []}, "peer_keys"),
+        ({"gossip": {"period": 1}}, "gossip.period: unknown key"),
+        ({"node_id": "a b"}, "node_id"),
+        ({"ticket_lifetime_s": 1}, "ticket_lifetime_s"),
+    ],
+)
+def test_wrong_values_are_named(changes, message):
+    with pytest.raises(errors.SettingsError, match=message):
+        settings.parse(_document(**changes), "node.yaml")
+
+
+def test_missing_value_is_named():
+    document = _document()
+    del document["node_id"]
+    with pytest.raises(errors.SettingsError, match="node_id: required"):
+        settings.parse(document, "node.yaml")
+
+
+def test_file_that_is_not_there(tmp_path):
+    with pytest.raises(errors.SettingsError, match="--settings"):
+        settings.load(tmp_path / "none.yaml")
+
+
+def test_file_that_is_not_yaml(tmp_path):
+    path = tmp_path / "node.yaml"
+    path.write_text("a: [")
+    with pytest.raises(errors.SettingsError, match="not valid YAML"):
+        settings.load(path)
+
+
+def test_wrong_announcement_is_named():
+    with pytest.raises(errors.InvalidInputError, match="slots"):
+        backend.parse_announcement(
+            {"service": "fees", "address": "127.0.0.1:1", "slots": 0}
+        )
--- /dev/null
+++ b/tests/unit/test_state.py
@@ -0,0 +1,142 @@
+"""Policy documents, leases, budgets, time line: shared state, alone."""
+
+import random
+
+import pytest
+
+from burdockfront import configuration
+from burdockfront import errors
+from burdockfront import leases
+from burdockfront import membership
+from burdockfront import platform_budget
+from burdockfront import policy
+from burdockfront import timeline
+from tests import builders
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "message"),
+    [
+        ("retry.allowance", 99, "retry.allowance: Input should be less"),
+        ("retry.kind", "forever", "retry.kind"),
+        ("admission.queue", 1, "no field 'admission.queue'"),
+        ("classes.browse.rank", -1, "rank"),
+        ("deadline_s", "soon", "deadline_s"),
+        ("deadline_s.x", 1, "nothing below a plain value"),
+    ],
+)
+def test_wrong_field_is_named(path, value, message):
+    document = {"service": "fees"}
+    with pytest.raises(errors.PolicyError, match=message):
+        policy.changed(document, path, value)
+
+
+def test_unknown_key_is_refused_with_the_remedy():
+    with pytest.raises(errors.PolicyError, match="retrys: unknown key"):
+        policy.parse({"service": "fees", "retrys": {}})
+
+
+def test_class_is_changed_by_its_name():
+    after = policy.changed({"service": "fees"}, "classes.browse.rank", 3)
+    assert policy.parse(after).class_of("GET", "/").rank == 3
+
+
+def test_request_that_nobody_thought_of_is_the_least_important():
+    assert policy.default("fees").class_of("PUT", "/x").name == "browse"
+
+
+def test_older_document_never_replaces_a_newer_one():
+    # A stale peer, or a stale read of the platform service, offers revision
+    # 3 after revision 5 is in force. Taking it would undo an accepted change.
+    known = configuration.Configuration()
+    assert known.merge(_document(5, 1), 0.0)
+    assert not known.merge(_document(3, 9), 1.0)
+    assert known.policy_of("fees").retry.allowance == 1
+
+
+def test_document_that_can_not_be_applied_is_reported_and_passed_on():
+    known = configuration.Configuration()
+    known.merge(_document(5, 1), 0.0)
+    assert known.merge(_document(6, 999), 1.0)
+    assert known.applied()["fees"].revision == 5
+    assert known.rejected()["fees"].revision == 6
+
+
+def _document(revision: int, allowance: int):
+    document = {"service": "fees", "retry": {"allowance": allowance}}
+    return configuration.entry_of("fees", revision, document, f"c{revision}")
+
+
+def test_conflict_names_both_revisions_and_the_remedy():
+    with pytest.raises(errors.RevisionConflictError, match="if revision 8"):
+        configuration.check_expected("fees", 7, 8)
+
+
+def test_holder_paused_past_its_lease_does_nothing():
+    # The process is paused for a minute and wakes up still believing in its
+    # lease. Its successor already acts. The token check stops it.
+    holder = leases.LeaseHolder(margin_s=1.0)
+    holder.granted(leases.Grant("seeds", 4, 10.0), asked_at_s=100.0)
+    assert holder.token(105.0) == 4
+    with pytest.raises(errors.LeaseLostError, match="nothing was done"):
+        holder.token(160.0)
+
+
+def test_late_answer_to_an_old_request_does_not_extend_a_lease():
+    holder = leases.LeaseHolder(margin_s=0.0)
+    holder.granted(leases.Grant("seeds", 4, 10.0), asked_at_s=100.0)
+    holder.granted(leases.Grant("seeds", 3, 10.0), asked_at_s=150.0)
+    assert not holder.holds(120.0)
+
+
+def test_budget_bounds_calls_in_the_long_run():
+    budget = platform_budget.CallBudget(2.0, 4)
+    taken = sum(budget.take(0.1 * i) for i in range(1000))
+    assert taken <= 4 + 2 * 100
+
+
+def test_breaker_opens_and_closes():
+    backoff = platform_budget.Backoff(0.2, 5.0, random.Random(1))
+    for _ in range(3):
+        backoff.failed(10.0)
+    assert backoff.open(10.1)
+    assert not backoff.open(20.0)
+    backoff.succeeded()
+    assert not backoff.open(20.0)
+
+
+def test_effect_never_stands_before_its_cause():
+    # The receiver's wall clock is ten seconds behind the sender's. Sorted by
+    # wall clock, the answer would stand before the request.
+    sender = timeline.Recorder("a", "dc1", 10)
+    receiver = timeline.Recorder("b", "dc1", 10)
+    sent = sender.record(100.0, "sent", "r")
+    receiver.clock.observe(sent.stamp, 90.0)
+    receiver.record(90.1, "received", "r")
+    merged = timeline.merge(
+        [
+            receiver.select(timeline.Filter(), 10),
+            sender.select(timeline.Filter(), 10),
+        ]
+    )
+    assert [event.kind for event in merged] == ["sent", "received"]
+
+
+def test_filter_selects_by_request_and_kind():
+    recorder = timeline.Recorder("a", "dc1", 10)
+    recorder.record(1.0, "call.refused", "r1")
+    recorder.record(1.0, "call.answered", "r1")
+    recorder.record(1.0, "call.refused", "r2")
+    wanted = timeline.Filter(request="r1", kind="call.ref")
+    assert len(recorder.select(wanted, 10)) == 1
+
+
+def test_clock_that_stepped_back_does_not_hide_a_restarted_node():
+    # The VM restarts with a clock in the past. Its peers remember the higher
+    # incarnation as dead; without the jump it would stay dead for a day.
+    me = builders.a_member("n1", incarnation=5)
+    mine = membership.Membership(me, membership.Timing(), random.Random(1))
+    old = builders.a_member("n1", incarnation=9, status=membership.Status.DEAD)
+    change = mine.merge(old.to_entry(), 1.0)
+    assert change is not None
+    assert mine.me.incarnation > 9
