A changed policy no longer cools a warm backend server

Cause: found by 'A backend server drains': 3 of 6 requests were refused with 4 free slots per server. A policy change set the ramp of a cold start, counted from the announcement, also for servers that had announced themselves warm. Ruled out: routing, queue, deadlines (slots in use 1 of 4 at the refusal).

--- a/features/environment.py
+++ b/features/environment.py
@@ -36,6 +36,7 @@
         data_centers=["dc1", "dc2"] if "two-data-centers" in tags else ["dc1"],
         embedded="embedded" in tags,
         proxied="proxied" in tags,
+        source_ips="two-data-centers" in tags,
         node_settings={"gossip": {"period_s": 0.3}},
     )
     cluster = cluster_lib.Cluster(layout, pathlib.Path(context.directory.name))
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -297,36 +297,34 @@
 
 @when("the data centres lose each other")
 def lose_each_other(context):
-    # Nodes of dc2 can't be reached by those of dc1 and the other way round.
-    # Proxies can't tell who connects, so the nodes of dc2 stop altogether
-    # being reachable, and those of dc1 too, but for their own data centre's
-    # view this is the same as a cut: each hears nothing from the other.
+    source_ips = {"dc1": "127.0.0.2", "dc2": "127.0.0.3"}
     for machine in context.world.cluster.machines:
-        if machine.data_center == "dc2":
-            proxy = context.world.cluster.proxies[machine.name]
-            proxy.rules.refuse = True
-            proxy.cut_open_connections()
+        others = frozenset(
+            ip for dc, ip in source_ips.items() if dc != machine.data_center
+        )
+        proxy = context.world.cluster.proxies[machine.name]
+        proxy.rules.refuse_from = others
+        proxy.cut_open_connections()
 
 
 @then("the nodes of each data centre know the others dead")
 def others_dead(context):
     world = context.world
     for machine in world.cluster.machines:
-        if machine.data_center == "dc2":
-            for other in world.cluster.machines:
-                if other.data_center == "dc1":
-                    worlds.eventually(
-                        lambda a=other.name, b=machine.name: (
-                            world.members(a)[b]["status"] == "dead"
-                        ),
-                        f"{other.name} knows {machine.name} dead",
-                    )
+        for other in world.cluster.machines:
+            if machine.data_center != other.data_center:
+                worlds.eventually(
+                    lambda a=other.name, b=machine.name: (
+                        world.members(a)[b]["status"] == "dead"
+                    ),
+                    f"{other.name} knows {machine.name} dead",
+                )
 
 
 @when("the data centres reach each other again")
 def reach_again(context):
     for proxy in context.world.cluster.proxies.values():
-        proxy.rules.refuse = False
+        proxy.rules.refuse_from = frozenset()
 
 
 @then("every node knows every node alive")
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -208,6 +208,9 @@
 @given("{count:d} slow requests are under way")
 def slow_requests(context, count):
     world = context.world
+    # Long enough that only the leaving itself could interrupt them.
+    world.command("set policy enrolment deadline_s = 20")
+    world.command("set policy enrolment attempt_timeout_s = 20")
     for number in range(count):
         node = world.cluster.machines[number % 5].name
         if node == "enrolment-1":
--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -87,6 +87,8 @@
         with_backends: Whether backend servers run, or only nodes.
         node_settings: More settings for all nodes.
         proxied: Nodes reach each other through fault-injecting proxies.
+        source_ips: Each data centre connects from an IP number of its own,
+            so that a proxy can tell them apart.
     """
 
     services: list[Service]
@@ -97,6 +99,7 @@
     with_backends: bool = True
     node_settings: dict[str, Any] = dataclasses.field(default_factory=dict)
     proxied: bool = False
+    source_ips: bool = False
 
 
 class Cluster:
@@ -243,6 +246,9 @@
             "drain": {"notice_s": 0.7, "linger_s": 0.3},
             **self.layout.node_settings,
         }
+        if self.layout.source_ips:
+            number = self.layout.data_centers.index(machine.data_center)
+            settings["source_ip"] = f"127.0.0.{number + 2}"
         if machine.name in self._advertised:
             settings["advertised_address"] = self._advertised[machine.name]
         if self.platform:
--- a/packages/burdockfront-bench/src/burdockfront_bench/standins/proxy.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/proxy.py
@@ -20,6 +20,7 @@
     Attributes:
         delay_s: Each chunk waits for up to this long.
         refuse: New connections are closed at once.
+        refuse_from: As `refuse`, for connections from these IP numbers.
         silent_there: Nothing reaches the target.
         silent_back: Nothing comes back.
         cut_after_bytes: An answer is cut after so many bytes.
@@ -27,6 +28,7 @@
 
     delay_s: float = 0.0
     refuse: bool = False
+    refuse_from: frozenset[str] = frozenset()
     silent_there: bool = False
     silent_back: bool = False
     cut_after_bytes: int | None = None
@@ -78,7 +80,8 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.rules.refuse:
+        source_ip = writer.get_extra_info("peername")[0]
+        if self.rules.refuse or source_ip in self.rules.refuse_from:
             writer.transport.abort()
             return
         host, _, port = self._target.rpartition(":")
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -57,6 +57,7 @@
         recorder: Where events go.
         ticket_lifetime_s: Lifetime of tickets minted here.
         rng: Source of randomness.
+        source_ip: Own IP number that connections come from, if it matters.
     """
 
     def __init__(
@@ -68,12 +69,19 @@
         recorder: timeline.Recorder,
         ticket_lifetime_s: float,
         rng: random.Random,
+        source_ip: str | None = None,
     ):
         self.router = routing.Router(data_center, rng)
         self.book = levels.LevelBook()
         self.counters = calls.Counters()
         self.sender = sender_lib.Sender(
-            node_id, keys, self.router, self.book, recorder, self.counters
+            node_id,
+            keys,
+            self.router,
+            self.book,
+            recorder,
+            self.counters,
+            source_ip,
         )
         self._node_id = node_id
         self._policy_of = policy_of
--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -65,9 +65,15 @@
 
 
 class Peers:
-    """Keeps one set of connections per peer address."""
+    """Keeps one set of connections per peer address.
 
-    def __init__(self) -> None:
+    Args:
+        source_ip: Own IP number that connections come from; None lets the
+            system choose.
+    """
+
+    def __init__(self, source_ip: str | None = None) -> None:
+        self._source_ip = source_ip
         self._peers: dict[str, _Peer] = {}
         self._closing: set[asyncio.Task[None]] = set()
         self.retired = 0
@@ -161,14 +167,17 @@
             self.retire(address)
             peer = None
         if peer is None:
-            peer = _Peer(_new_session(), now_s)
+            peer = _Peer(_new_session(self._source_ip), now_s)
             self._peers[address] = peer
         return peer
 
 
-def _new_session() -> aiohttp.ClientSession:
+def _new_session(source_ip: str | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=IDLE_S, use_dns_cache=False
+        limit=0,
+        keepalive_timeout=IDLE_S,
+        use_dns_cache=False,
+        local_addr=(source_ip, 0) if source_ip else None,
     )
     return aiohttp.ClientSession(
         connector=connector,
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -36,6 +36,7 @@
         book: Learns the levels on answers.
         recorder: Where events go.
         counters: What was done so far.
+        source_ip: Own IP number that connections come from, if it matters.
     """
 
     def __init__(
@@ -46,8 +47,9 @@
         book: levels.LevelBook,
         recorder: timeline.Recorder,
         counters: calls.Counters,
+        source_ip: str | None,
     ):
-        self.peers = peers_lib.Peers()
+        self.peers = peers_lib.Peers(source_ip)
         self.keys = keys
         self.local_guard: LocalGuard | None = None
         self._node_id = node_id
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -54,6 +54,7 @@
         ready: Whether this node knows the configuration.
         on_members: Called when beliefs about members changed.
         rng: Source of randomness.
+        source_ip: Own IP number that connections come from, if it matters.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         ready: asyncio.Event,
         on_members: Callable[[], None],
         rng: random.Random,
+        source_ip: str | None = None,
     ):
         self.membership = membership
         self.configuration = configuration
@@ -75,7 +77,7 @@
         self._ready = ready
         self._on_members = on_members
         self._rng = rng
-        self._peers = peers_lib.Peers()
+        self._peers = peers_lib.Peers(source_ip)
         self._member_rumors = tables.Rumors(settings.fanout)
         self._policy_rumors = tables.Rumors(settings.fanout)
         self._news = asyncio.Event()
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -71,6 +71,8 @@
 
     def _build_state(self) -> None:
         settings = self._settings
+        source_ip = str(settings.source_ip) if settings.source_ip else None
+        self._source_ip = source_ip
         self._headers = {"Authorization": f"Bearer {self._keys.first()}"}
         configuration = configuration_lib.Configuration()
         me = membership_lib.Member(
@@ -97,6 +99,7 @@
             self._ready,
             self._update_router,
             self._rng,
+            source_ip,
         )
         self._platform = (
             platform_lib.PlatformClient(settings.platform, self._rng)
@@ -120,6 +123,7 @@
             self._recorder,
             settings.ticket_lifetime_s,
             self._rng,
+            self._source_ip,
         )
         ledger = ledger_lib.Ledger(
             settings.node_id, self._boot_id, settings.ledger_bytes
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -22,6 +22,7 @@
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
 from burdockfront_client import dispatcher as dispatcher_lib
+from burdockfront_client import peers as peers_lib
 from burdockfront_node import backend as backend_lib
 from burdockfront_node import handover as handover_lib
 
@@ -74,7 +75,7 @@
         self.announcement: backend_lib.Announcement | None = None
         self._dispatcher = dispatcher
         self._handover = handover_lib.Handover(
-            dispatcher.sender.peers, dispatcher.sender.keys, attempts
+            peers_lib.Peers(), dispatcher.sender.keys, attempts
         )
         self._policy_of = policy_of
         self._recorder = recorder
@@ -184,9 +185,10 @@
     ) -> None:
         self._policy = self._policy_of(announcement.service)
         rules = self._policy.admission
-        ramp_s = rules.ramp_s if announcement.state == "cold" else 0.0
-        self._limit = limits.ConcurrencyLimit(announcement.slots, ramp_s, now_s)
-        self._limit.set_ramp(rules.ramp_s if ramp_s else 0.0)
+        cold = announcement.state == "cold"
+        self._limit = limits.ConcurrencyLimit(
+            announcement.slots, rules.ramp_s, now_s, cold
+        )
         self._admission = admission_lib.create(rules, self._limit, now_s)
 
     async def _with_ticket(
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -74,6 +74,7 @@
     caller_address: Address
     internal_address: Address
     advertised_address: Address | None = None
+    source_ip: pydantic.IPvAnyAddress | None = None
     peer_keys: list[_Key] = pydantic.Field(min_length=1)
     operator_keys: list[_Key] = pydantic.Field(min_length=1)
     seeds: list[Address] = []
--- a/packages/burdockfront/src/burdockfront/limits.py
+++ b/packages/burdockfront/src/burdockfront/limits.py
@@ -18,13 +18,22 @@
 
 
 class ConcurrencyLimit:
-    """The limit of one backend server."""
+    """The limit of one backend server.
 
-    def __init__(self, slots: int, ramp_s: float, now_s: float):
+    Args:
+        slots: Slots that it announced.
+        ramp_s: Length of the ramp after a cold start.
+        now_s: The current time.
+        cold: Whether it starts cold.
+    """
+
+    def __init__(
+        self, slots: int, ramp_s: float, now_s: float, cold: bool = False
+    ):
         self._slots = slots
         self._learned = float(slots)
         self._ramp_s = ramp_s
-        self._started_s = now_s
+        self._cold_since_s = now_s if cold else None
         self._changed_s = now_s
 
     @property
@@ -38,7 +47,7 @@
             self._slots = slots
             self._learned = float(slots)
         if cold:
-            self._started_s = now_s
+            self._cold_since_s = now_s
 
     def set_ramp(self, ramp_s: float) -> None:
         """Takes the ramp from a changed policy."""
@@ -59,7 +68,7 @@
         return max(1, math.floor(self._learned * self._warmth(now_s)))
 
     def _warmth(self, now_s: float) -> float:
-        if self._ramp_s <= 0.0:
+        if self._cold_since_s is None or self._ramp_s <= 0.0:
             return 1.0
-        elapsed = (now_s - self._started_s) / self._ramp_s
+        elapsed = (now_s - self._cold_since_s) / self._ramp_s
         return min(1.0, _COLD_SHARE + (1.0 - _COLD_SHARE) * elapsed)
