--- a/packages/burdockfront-bench/src/burdockfront_bench/callers.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/callers.py
@@ -60,18 +60,28 @@
 class Caller:
     """Makes whole requests.
 
+    An entry that does not answer is left after `try_s` for another one, as
+    docs/CALLERS.md advises; a repeated confirmation carries the same ticket,
+    so that is safe.
+
     Args:
         session: HTTP client.
         deadline_s: After this an answer is worthless to the person.
         repeats: How often an impatient caller asks again at once.
+        try_s: How long one entry is waited for.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, deadline_s: float, repeats: int
+        self,
+        session: aiohttp.ClientSession,
+        deadline_s: float,
+        repeats: int,
+        try_s: float = 1.0,
     ):
         self._session = session
         self._deadline_s = deadline_s
         self._repeats = repeats
+        self._try_s = try_s
 
     async def ask(
         self, addresses: list[str], kind: Kind, result: Result
@@ -84,19 +94,23 @@
             result: Filled in.
         """
         started_s = time.monotonic()
-        for number in range(1 + self._repeats):
-            address = addresses[number % len(addresses)]
+        repeats_left = self._repeats
+        for number, address in enumerate(addresses):
             left_s = self._deadline_s - (time.monotonic() - started_s)
             if left_s <= 0:
                 break
             await self._try(address, kind, result, left_s, number)
-            final = result.outcome == "done" or (
-                kind.method != "GET" and result.outcome == "unknown"
-            )
-            if final:
+            if result.status == 0:
+                continue
+            if self._final(kind, result) or repeats_left == 0:
                 break
+            repeats_left -= 1
         result.elapsed_s = time.monotonic() - started_s
 
+    def _final(self, kind: Kind, result: Result) -> bool:
+        confirmed = kind.method != "GET" and result.outcome == "unknown"
+        return result.outcome == "done" or confirmed
+
     async def _try(
         self,
         address: str,
@@ -139,7 +153,7 @@
                 kind.method,
                 url,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=left_s),
+                timeout=aiohttp.ClientTimeout(total=min(left_s, self._try_s)),
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -265,7 +265,12 @@
         if ticket is None:
             timeout_s = min(timeout_s, policy.attempt_timeout_s)
         return await self.sender.send(
-            call, target, ticket, timeout_s, policy.body_limit_bytes
+            call,
+            target,
+            ticket,
+            timeout_s,
+            policy.attempt_timeout_s,
+            policy.body_limit_bytes,
         )
 
     def _choose(
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -65,13 +65,26 @@
         target: routing.Target,
         ticket: tickets.Ticket | None,
         timeout_s: float,
+        overdue_s: float,
         limit_bytes: int,
     ) -> calls.Sent:
-        """Sends one attempt and waits for its answer."""
+        """Sends one attempt and waits for its answer.
+
+        Args:
+            call: What is asked.
+            target: The guard.
+            ticket: Ticket of a call that must not repeat.
+            timeout_s: How long the answer is waited for.
+            overdue_s: After this the guard's silence counts against it.
+            limit_bytes: Largest answer.
+        """
         attempt = self._attempt_of(call, ticket, timeout_s)
         attempt_id = attempt.context.attempt_id
         self._counters.attempts += 1
         self._router.sent(target.node_id)
+        alarm = asyncio.get_running_loop().call_later(
+            overdue_s, self._overdue, target.node_id
+        )
         try:
             answer = await self._transmit(
                 attempt, target, timeout_s, limit_bytes
@@ -89,6 +102,8 @@
             call.pool.forfeit(attempt_id)
             self._router.abandoned(target.node_id)
             raise
+        finally:
+            alarm.cancel()
         call.pool.give_back(attempt_id, answer.unspent)
         self._learn(call, target, answer)
         return calls.Sent(calls.Fate.ANSWERED, answer)
@@ -170,6 +185,13 @@
                 now_s,
             )
 
+    def _overdue(self, node_id: str) -> None:
+        if self._router.overdue(node_id, time.monotonic()):
+            self._record_ejection(node_id)
+
+    def _record_ejection(self, node_id: str) -> None:
+        self._recorder.record(time.time(), "router.ejected", target=node_id)
+
     def _unanswered(
         self, call: calls.Call, target: routing.Target, unreachable: bool
     ) -> None:
@@ -184,6 +206,4 @@
             unreachable=unreachable,
         )
         if ejected:
-            self._recorder.record(
-                time.time(), "router.ejected", target=target.node_id
-            )
+            self._record_ejection(target.node_id)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
@@ -44,7 +44,7 @@
         announced = self._guard.announcement
         service = announced.service if announced else ""
         slots = announced.slots if announced else 0
-        draining = self._guard.draining
+        draining = not self._guard.takes_work
         me = self._exchange.membership.me
         if (me.service, me.slots, me.draining) != (service, slots, draining):
             self._exchange.update_me(
@@ -55,6 +55,8 @@
         """Withdraws a backend server that no longer announces itself."""
         while True:
             await asyncio.sleep(_CHECK_S)
+            # Also tells of a stall that began or ended.
+            self.publish()
             silent_s = time.monotonic() - self._heard_at_s
             announced = self._guard.announcement
             if announced and silent_s > backend_lib.SILENT_AFTER_S:
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -17,6 +17,7 @@
 from burdockfront import limits
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
+from burdockfront import stalls
 from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import attempts as attempts_lib
@@ -86,6 +87,7 @@
         self._waiting: dict[str, asyncio.Future[outcomes.Answer | None]] = {}
         self._running: dict[str, asyncio.Task[outcomes.Answer]] = {}
         self._draining_since_s: float | None = None
+        self._stalls = stalls.StallDetector()
 
     @property
     def in_flight(self) -> int:
@@ -95,9 +97,14 @@
 
     @property
     def draining(self) -> bool:
-        """Whether new work is unwelcome."""
+        """Whether it is leaving."""
         return self._draining_since_s is not None
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether routers should send anything here."""
+        return not self.draining and not self._stalls.stalled
+
     def level(self) -> int:
         """Returns the level of this guard alone."""
         return self._admission.level() if self._admission else 0
@@ -113,6 +120,7 @@
         now_s = time.monotonic()
         before = self.announcement
         self.announcement = announcement
+        self._stalls.announced(now_s)
         if announcement.draining:
             self.drain()
         elif before is not None and before.draining:
@@ -165,7 +173,9 @@
         if admission is None:
             return
         self._adopt_policy(admission)
-        self._follow(admission.advance(time.monotonic()))
+        now_s = time.monotonic()
+        self._stalls.check(now_s)
+        self._follow(admission.advance(now_s))
 
     def _adopt_policy(self, admission: admission_lib.Admission) -> None:
         if self.announcement is None or self._policy is None:
@@ -319,6 +329,8 @@
             time.monotonic() - since_s > _DRAIN_GRACE_S
         ):
             return outcomes.not_run(outcomes.Reason.DRAINING, retry_after_s)
+        if self._stalls.stalled:
+            return outcomes.not_run(outcomes.Reason.UNREACHABLE, retry_after_s)
         return self._above_path_level(attempt)
 
     def _above_path_level(
@@ -375,14 +387,15 @@
         started_s = time.monotonic()
         self.counters.handed_over += 1
         self._record("call.handed-over", attempt)
-        in_use = admission.in_use
+        self._stalls.handed(started_s)
+        answer: outcomes.Answer | None = None
         try:
             answer = await self._to_backend(attempt, nonce)
         finally:
-            service_s = time.monotonic() - started_s
-            self._follow(admission.release(service_s, time.monotonic()))
-        if answer.outcome is outcomes.Outcome.NOT_RUN:
-            self._note_shed(answer, in_use)
+            now_s = time.monotonic()
+            service_s = now_s - started_s
+            self._note_end(answer, service_s, now_s)
+            self._follow(admission.release(service_s, now_s))
         self._record(
             "call.answered",
             attempt,
@@ -403,9 +416,21 @@
         limit_bytes = self._policy_of(announced.service).body_limit_bytes
         return await self._handover.run(announced, attempt, nonce, limit_bytes)
 
-    def _note_shed(self, answer: outcomes.Answer, in_use: int) -> None:
-        if answer.reason is outcomes.Reason.OVERLOAD and self._admission:
-            self._admission.shed_by_backend(time.monotonic())
+    def _note_end(
+        self, answer: outcomes.Answer | None, service_s: float, now_s: float
+    ) -> None:
+        """Learns from how a hand-over ended, while its slot is still held."""
+        assert self._admission is not None
+        unanswered = answer is None or (
+            answer.outcome is outcomes.Outcome.UNKNOWN
+        )
+        if unanswered:
+            self._stalls.gave_up()
+            return
+        assert answer is not None
+        self._stalls.answered(service_s, now_s)
+        if answer.reason is outcomes.Reason.OVERLOAD:
+            self._admission.shed_by_backend(now_s)
 
     def _refused(
         self, attempt: calls.Attempt, refusal: outcomes.Answer
@@ -436,9 +461,9 @@
             self.counters.unknown += 1
         return dataclasses.replace(
             answer,
-            level=min(level, path_level),
+            level=min(level, path_level) if self.takes_work else None,
             load=self.load(),
-            draining=self.draining or self.announcement is None,
+            draining=not self.takes_work or self.announcement is None,
         )
 
     def _record(
--- a/packages/burdockfront/src/burdockfront/__init__.py
+++ b/packages/burdockfront/src/burdockfront/__init__.py
@@ -9,7 +9,8 @@
 Modules by subject:
 
 * requests: `context`, `allowance`, `tickets`, `ledger`, `outcomes`
-* overload: `admission`, `levels`, `limits`, `routing`
+* overload: `admission`, `levels`, `limits`, `routing`,
+  `retries`, `stalls`
 * state between nodes: `tables`, `membership`, `configuration`, `leases`,
   `platform_budget`
 * shared: `policy`, `keyring`, `timeline`, `registry`, `errors`
--- a/packages/burdockfront/src/burdockfront/membership.py
+++ b/packages/burdockfront/src/burdockfront/membership.py
@@ -103,6 +103,7 @@
             data_center=self.data_center,
             slots=self.slots,
             draining=self.draining,
+            suspect=self.status is Status.SUSPECT,
         )
 
 
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -41,6 +41,7 @@
         data_center: Its data centre.
         slots: Slots that the backend server announced.
         draining: It takes no new work.
+        suspect: Members doubt that it is alive.
     """
 
     node_id: str
@@ -50,6 +51,7 @@
     data_center: str
     slots: int
     draining: bool = False
+    suspect: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,9 +128,7 @@
         if due is not None:
             return due
         usable = [
-            target
-            for target in open_targets
-            if not self._states[target.node_id].ejected
+            target for target in open_targets if not self._doubted(target)
         ]
         usable = self._with_floor(open_targets, usable)
         if not usable:
@@ -182,6 +182,18 @@
             return self._eject(state, now_s)
         return False
 
+    def overdue(self, node_id: str, now_s: float) -> bool:
+        """Learns that a call is late, though it is still waited for.
+
+        Returns:
+            Whether the guard was ejected just now.
+        """
+        state = self._states.get(node_id)
+        if state is None:
+            return False
+        state.silent += 1
+        return state.silent >= _SILENT_CALLS and self._eject(state, now_s)
+
     def abandoned(self, node_id: str) -> None:
         """Forgets a call that its caller cancelled: it proves nothing."""
         state = self._states.get(node_id)
@@ -203,6 +215,9 @@
         state.probe_at_s = now_s + state.pause_s * jitter
         return fresh
 
+    def _doubted(self, target: Target) -> bool:
+        return target.suspect or self._states[target.node_id].ejected
+
     def _takes_work(self, target: Target, now_s: float) -> bool:
         if target.draining:
             return False
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/stalls.py
@@ -0,0 +1,60 @@
+"""Finds out that a backend server has stopped answering altogether.
+
+A frozen backend server takes its slots' worth of requests and answers none.
+Its announcements stop too, but only after seconds that is noticed, and until
+then its guard looks like an overloaded one: it refuses, lowers its level, and
+routers refuse requests that its healthy siblings could serve.
+
+Symptom: requests are in its hands and none of them has ended for much longer
+than one takes. One that is merely slow still ends requests now and then, so
+the bound is a multiple of the usual time, with a floor for fast services.
+"""
+
+_FLOOR_S = 0.5
+_TIMES = 8.0
+_WEIGHT = 0.1
+
+
+class StallDetector:
+    """Watches one backend server's answers."""
+
+    def __init__(self) -> None:
+        self._in_hand = 0
+        self._quiet_since_s = 0.0
+        self._usual_s = 0.05
+        self._stalled_since_s: float | None = None
+
+    @property
+    def stalled(self) -> bool:
+        """Whether it answers nothing at the moment."""
+        return self._stalled_since_s is not None
+
+    def handed(self, now_s: float) -> None:
+        """Notes a request that was handed over."""
+        if self._in_hand == 0:
+            self._quiet_since_s = now_s
+        self._in_hand += 1
+
+    def answered(self, took_s: float, now_s: float) -> None:
+        """Notes an answer: it is alive."""
+        self._in_hand -= 1
+        self._quiet_since_s = now_s
+        self._usual_s += _WEIGHT * (took_s - self._usual_s)
+        self._stalled_since_s = None
+
+    def gave_up(self) -> None:
+        """Notes a request whose answer nobody waits for any more."""
+        self._in_hand -= 1
+
+    def announced(self, now_s: float) -> None:
+        """Notes an announcement, which a frozen process can't make."""
+        if self._in_hand == 0:
+            self._stalled_since_s = None
+
+    def check(self, now_s: float) -> bool:
+        """Returns whether it has stalled, as of now."""
+        bound_s = max(_FLOOR_S, _TIMES * self._usual_s)
+        quiet = self._in_hand > 0 and now_s - self._quiet_since_s > bound_s
+        if quiet and self._stalled_since_s is None:
+            self._stalled_since_s = now_s
+        return self.stalled
--- a/tests/unit/test_overload.py
+++ b/tests/unit/test_overload.py
@@ -6,6 +6,7 @@
 from burdockfront import levels
 from burdockfront import limits
 from burdockfront import routing
+from burdockfront import stalls
 from tests import builders
 
 
@@ -199,3 +200,45 @@
     limit = limits.ConcurrencyLimit(40, 3.0, 0.0)
     limit.set_ramp(5.0)
     assert limit.current(1.0) == 40
+
+
+def test_frozen_backend_is_told_from_a_slow_one():
+    # A slow one ends requests now and then; a frozen one ends none. Only the
+    # frozen one's guard may send callers elsewhere for it.
+    slow, frozen = stalls.StallDetector(), stalls.StallDetector()
+    for detector in (slow, frozen):
+        for _ in range(4):
+            detector.handed(0.0)
+    slow.answered(0.4, 0.4)
+    assert not slow.check(0.8)
+    assert frozen.check(0.8)
+    frozen.answered(5.0, 5.0)
+    assert not frozen.check(5.1)
+
+
+def test_stalled_backend_is_tried_again_after_it_announced_itself():
+    detector = stalls.StallDetector()
+    detector.handed(0.0)
+    assert detector.check(1.0)
+    detector.gave_up()
+    assert detector.check(1.5)
+    detector.announced(2.0)
+    assert not detector.check(2.1)
+
+
+def test_suspected_guard_gets_no_work_while_others_are_there():
+    router = routing.Router("dc1", random.Random(7))
+    router.update(
+        [builders.a_target("a", suspect=True), builders.a_target("b")]
+    )
+    assert _choices(router, 1.0) == {"b"}
+
+
+def test_overdue_calls_eject_before_their_deadline():
+    # A confirmation waits its whole deadline for its owner. If only its end
+    # counted, a frozen owner would be given confirmations for seconds.
+    router = _router("a", "b", "c")
+    for _ in range(3):
+        router.sent("a")
+        router.overdue("a", 1.0)
+    assert router.ejected() == ["a"]
