A write that was never sent is not called unsettled

Ruled out: the platform stand-in (answered all calls it got). Change: not asked is an error of its own; operators' calls wait for the budget for up to 4 s. Test first: red before (no such error), green after.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
@@ -4,6 +4,7 @@
 outage costs the service nothing and its end is not met by a stampede.
 """
 
+import asyncio
 import dataclasses
 import random
 import time
@@ -19,6 +20,8 @@
 
 _LIMIT_BYTES = 2_000_000
 _BURST = 8
+_PATIENCE_S = 4.0
+_POLL_S = 0.05
 _FIRST_WAIT_S = 0.2
 _MOST_WAIT_S = 5.0
 
@@ -51,6 +54,17 @@
         self.found = found
 
 
+class PlatformNotAskedError(errors.PlatformUnavailableError):
+    """The call was not sent: it provably had no effect."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "the platform service is not asked now (it failed lately, or "
+            "this node's call budget is spent), so nothing was changed; try "
+            "again in seconds."
+        )
+
+
 class PlatformClient:
     """Asks the platform's service within a budget.
 
@@ -69,13 +83,18 @@
         self.calls = 0
         self.failures = 0
 
-    async def read(self, prefix: str) -> Snapshot:
+    async def read(self, prefix: str, patient: bool = False) -> Snapshot:
         """Returns all items below a prefix.
 
+        Args:
+            prefix: Beginning of the keys.
+            patient: Wait for the budget rather than fail, for operators.
+
         Raises:
             PlatformUnavailableError: No answer, or the budget is spent.
         """
-        data = await self._ask("GET", f"/kv?prefix={prefix}", None, 0.0)
+        target = f"/kv?prefix={prefix}"
+        data = await self._ask("GET", target, None, 0.0, patient)
         return _snapshot_of(data)
 
     async def watch(self, prefix: str, after: int) -> Snapshot:
@@ -101,10 +120,11 @@
 
         Raises:
             WriteConflictError: The key has another revision.
+            PlatformNotAskedError: It was not sent: it had no effect.
             PlatformUnavailableError: No answer: it may have taken effect.
         """
         body = {"value": value, "expected": expected}
-        data = await self._ask("PUT", f"/kv/{key}", body, 0.0)
+        data = await self._ask("PUT", f"/kv/{key}", body, 0.0, patient=True)
         if "conflict" in data:
             raise WriteConflictError(key, data["conflict"])
         return int(data["revision"])
@@ -133,13 +153,9 @@
         target: str,
         body: dict[str, Any] | None,
         wait_s: float,
+        patient: bool = False,
     ) -> dict[str, Any]:
-        now_s = time.monotonic()
-        if self.backoff.open(now_s) or not self._budget.take(now_s):
-            raise errors.PlatformUnavailableError(
-                "the platform service is not asked now (it failed lately, or "
-                "this node's call budget is spent); try again in seconds."
-            )
+        await self._take_budget(_PATIENCE_S if patient else 0.0)
         self.calls += 1
         try:
             reply = await self._peers.request(
@@ -165,6 +181,17 @@
         self.backoff.succeeded()
         return data
 
+    async def _take_budget(self, patience_s: float) -> None:
+        """Takes one call from the budget, waiting for it if allowed."""
+        until_s = time.monotonic() + patience_s
+        while True:
+            now_s = time.monotonic()
+            if not self.backoff.open(now_s) and self._budget.take(now_s):
+                return
+            if now_s >= until_s:
+                raise PlatformNotAskedError()
+            await asyncio.sleep(_POLL_S)
+
 
 def _snapshot_of(data: dict[str, Any]) -> Snapshot:
     items = tuple(
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
@@ -149,7 +149,7 @@
                 "this node runs without a platform service."
             )
         key = PREFIX + service
-        snapshot = await self._platform.read(key)
+        snapshot = await self._platform.read(key, patient=True)
         for item in snapshot.items:
             if item.key == key:
                 return item
@@ -177,6 +177,8 @@
             raise errors.RevisionConflictError(
                 service, expected, conflict.found
             ) from None
+        except platform_lib.PlatformNotAskedError:
+            raise
         except errors.PlatformUnavailableError:
             return await self._settle(service, expected, change_id)
 
--- /dev/null
+++ b/tests/unit/test_policies.py
@@ -0,0 +1,30 @@
+"""Writes to the platform service: what is said of one that went wrong."""
+
+import asyncio
+
+import pytest
+
+from burdockfront import errors
+from burdockfront_node.controllers import platform
+from burdockfront_node.controllers import policies
+
+
+class _PlatformThatIsNotAsked:
+    """Stands in for a client whose budget or breaker forbids the write."""
+
+    async def read(self, prefix, patient=False):
+        return platform.Snapshot(7, ())
+
+    async def write(self, key, value, expected):
+        raise platform.PlatformNotAskedError()
+
+
+def test_write_that_was_never_sent_is_not_called_unsettled():
+    # The node's call budget is spent, so the write is not even sent. Told
+    # "unsettled", the operator would wait for a change that can't come.
+    controller = policies.Policies(_PlatformThatIsNotAsked(), None)
+    change = controller.change(
+        "fees", "retry.allowance", 1, None, "tester", "c-1"
+    )
+    with pytest.raises(platform.PlatformNotAskedError, match="nothing"):
+        asyncio.run(change)
