Ejected guards are probed again although a probe was never sent

Cause: read off the code: choosing a probe set a flag that only its answer cleared. A call refused early after the choice, or a ticket minted and not used, left it set: that guard was never used again by this router. Test first: test_probe_that_was_never_sent_is_made_again and test_tickets_are_not_minted_for_an_ejected_guard, both red before. Change: the next probe is due after another pause, whatever became of the last; tickets are not minted for ejected guards. Two unused functions are gone.

--- a/packages/burdockfront-bench/src/burdockfront_bench/analysis.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/analysis.py
@@ -13,7 +13,6 @@
 """
 
 import dataclasses
-import statistics
 from typing import Any
 
 from burdockfront_bench import callers
@@ -213,11 +212,6 @@
     return "\n".join(lines)
 
 
-def median_of(summaries: list[Summary], field: str) -> float:
-    """Returns the median of a figure over several runs."""
-    return statistics.median(getattr(s, field) for s in summaries)
-
-
 def _or_not_in_run(value_s: float | None) -> str:
     return "not in run" if value_s is None else f"{value_s}"
 
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -102,7 +102,9 @@
         self, service: str, tried: frozenset[str] = frozenset()
     ) -> tickets.Ticket | None:
         """Returns a ticket of the guard that would be chosen now."""
-        owner = self.router.choose(service, tried, time.monotonic())
+        owner = self.router.choose(
+            service, tried, time.monotonic(), probe=False
+        )
         return self.mint_for(owner) if owner is not None else None
 
     def mint_for(self, owner: routing.Target) -> tickets.Ticket:
--- a/packages/burdockfront/src/burdockfront/ledger.py
+++ b/packages/burdockfront/src/burdockfront/ledger.py
@@ -19,7 +19,6 @@
 import dataclasses
 import enum
 
-from burdockfront import errors
 from burdockfront import outcomes
 from burdockfront import tickets
 
@@ -178,16 +177,3 @@
     if entry.answer is not None:
         return Verdict(Decision.REPLAY, answer=entry.answer)
     return Verdict(Decision.WAIT)
-
-
-def check_lifetime(lifetime_s: float) -> None:
-    """Checks a ticket lifetime from the settings.
-
-    Raises:
-        SettingsError: It is too short for a repeat, or unbounded memory.
-    """
-    if not 10.0 <= lifetime_s <= 86_400.0:
-        raise errors.SettingsError(
-            f"expected ticket_lifetime_s from 10 to 86400, got {lifetime_s}; "
-            f"900 suits callers that repeat within minutes."
-        )
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -64,7 +64,6 @@
     ejected: bool = False
     pause_s: float = _FIRST_PAUSE_S
     probe_at_s: float = 0.0
-    probing: bool = False
     drained_at_s: float = -1e9
 
 
@@ -110,7 +109,11 @@
         return self._targets.get(service, {}).get(node_id)
 
     def choose(
-        self, service: str, tried: frozenset[str], now_s: float
+        self,
+        service: str,
+        tried: frozenset[str],
+        now_s: float,
+        probe: bool = True,
     ) -> Target | None:
         """Returns the guard for a call, or None when there is none left.
 
@@ -118,13 +121,15 @@
             service: The wanted service.
             tried: Guards that this call has tried already.
             now_s: The current time.
+            probe: Whether this call may find out if an ejected guard is
+                back. Not for tickets, which tie a confirmation to it.
         """
         open_targets = [
             target
             for target in self._targets.get(service, {}).values()
             if self._takes_work(target, now_s) and target.node_id not in tried
         ]
-        due = self._due_probe(open_targets, now_s)
+        due = self._due_probe(open_targets, now_s) if probe else None
         if due is not None:
             return due
         usable = [
@@ -154,7 +159,6 @@
         state.in_flight = max(0, state.in_flight - 1)
         state.silent = 0
         state.ejected = False
-        state.probing = False
         state.pause_s = _FIRST_PAUSE_S
         if load is not None:
             state.load = load
@@ -178,7 +182,7 @@
             return False
         state.in_flight = max(0, state.in_flight - 1)
         state.silent += _SILENT_CALLS if unreachable else 1
-        if state.probing or state.silent >= _SILENT_CALLS:
+        if state.silent >= _SILENT_CALLS:
             return self._eject(state, now_s)
         return False
 
@@ -199,7 +203,6 @@
         state = self._states.get(node_id)
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
-            state.probing = False
 
     def ejected(self) -> list[str]:
         """Returns the ids of ejected guards."""
@@ -210,7 +213,6 @@
         if not fresh:
             state.pause_s = min(_MAX_PAUSE_S, state.pause_s * 2)
         state.ejected = True
-        state.probing = False
         jitter = self._rng.uniform(0.8, 1.2)
         state.probe_at_s = now_s + state.pause_s * jitter
         return fresh
@@ -227,9 +229,10 @@
     def _due_probe(self, targets: list[Target], now_s: float) -> Target | None:
         for target in targets:
             state = self._states[target.node_id]
-            due = state.ejected and not state.probing
-            if due and now_s >= state.probe_at_s:
-                state.probing = True
+            if state.ejected and now_s >= state.probe_at_s:
+                # Whoever asked may never send it; so no answer is waited
+                # for, and the next probe is due after another pause.
+                state.probe_at_s = now_s + state.pause_s
                 return target
         return None
 
--- a/tests/unit/test_overload.py
+++ b/tests/unit/test_overload.py
@@ -274,3 +274,21 @@
     now_s = _serve(limit, lambda n: 0.05, 3, 0.0)
     now_s = _serve(limit, lambda n: 0.25, 6, now_s)
     assert limit.current(now_s) == 8
+
+
+def test_probe_that_was_never_sent_is_made_again():
+    # An ejected guard was chosen for a probe, but the call was refused early
+    # (or a ticket was minted and never used). Waiting for its answer for
+    # ever, the router would never use that guard again.
+    router = _router("a", "b", "c")
+    router.unanswered("a", True, 1.0)
+    assert _choices(router, 3.0, count=1) == {"a"}
+    assert _choices(router, 3.1) == {"b", "c"}
+    assert _choices(router, 30.0, count=1) == {"a"}
+
+
+def test_tickets_are_not_minted_for_an_ejected_guard():
+    router = _router("a", "b", "c")
+    router.unanswered("a", True, 1.0)
+    owner = router.choose("fees", frozenset(), 3.0, probe=False)
+    assert owner.node_id != "a"
