The HTTP client no longer retries behind our back

Cause: read in the library: on a kept connection that breaks, aiohttp sends GET, PUT and DELETE once more by itself. No allowance knew of it, every layer added its own, and a confirmation by PUT or DELETE could run twice at the backend server. Seen: 3 of 4 methods red in test_peers (three requests for two calls). Change: switched off for each session; only failures to connect count as 'nothing was sent', not read time-outs. Test: 4 of 4 green.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	$(BIN)/python -m burdockfront_bench.demo
 
 check: setup
-	$(BIN)/ruff format --check packages tests features
-	$(BIN)/ruff check packages tests features
+	$(BIN)/ruff format --check packages tests features examples
+	$(BIN)/ruff check packages tests features examples
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -123,7 +123,10 @@
                         for k, v in response.raw_headers
                     ]
                     status = response.status
-        except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as e:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as e:
             raise UnreachableError(
                 f"no connection to {address} ({type(e).__name__}); nothing "
                 f"was sent. Check that the process runs: 'show members'."
@@ -179,13 +182,19 @@
         use_dns_cache=False,
         local_addr=(source_ip, 0) if source_ip else None,
     )
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
     )
+    # The library sends GET, PUT and DELETE again by itself when a kept
+    # connection breaks. No allowance knows of that retry, each layer would
+    # add its own, and a confirmation by PUT could run twice. There is no
+    # public switch; test_peers fails if this one stops working.
+    session._retry_connection = False
+    return session
 
 
 async def _close_later(session: aiohttp.ClientSession) -> None:
