Revert the trial cut of the concurrency limit (a failed try)

A queue inside a backend server that claims too many slots was looked for by its own time at full use. Probable cause, not proved: in an overload the own time grows by the node's and the stand-in's processor time, and a trial takes a quarter to a half of four slots for seconds.

--- a/packages/burdockfront-client/src/burdockfront_client/attempts.py
+++ b/packages/burdockfront-client/src/burdockfront_client/attempts.py
@@ -12,7 +12,7 @@
 from burdockfront import context as context_lib
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class OpenAttempt:
     """One attempt between hand-over and answer.
 
@@ -20,13 +20,11 @@
         context: Context of the attempt.
         pool: Allowance that its deeper calls may spend.
         deadline_s: Monotonic time at which its answer is worthless.
-        deeper_s: Time spent in deeper calls so far.
     """
 
     context: context_lib.RequestContext
     pool: allowance.AllowancePool
     deadline_s: float
-    deeper_s: float = 0.0
 
 
 class AttemptBook:
--- a/packages/burdockfront-client/src/burdockfront_client/embedded.py
+++ b/packages/burdockfront-client/src/burdockfront_client/embedded.py
@@ -181,11 +181,7 @@
             body,
             policy.deadline_s,
         )
-        begun_s = time.monotonic()
-        try:
-            return await self._router.dispatcher.call(call)
-        finally:
-            self._attempt.deeper_s += time.monotonic() - begun_s
+        return await self._router.dispatcher.call(call)
 
     def headers(self) -> list[tuple[str, str]]:
         """Returns headers that the guard wants with the answer."""
@@ -195,5 +191,4 @@
         return [
             (wire.UNSPENT, str(self._attempt.pool.units)),
             (wire.PATH_LEVEL, str(level)),
-            (wire.DEEPER, f"{self._attempt.deeper_s:.4f}"),
         ]
--- a/packages/burdockfront-node/src/burdockfront_node/filters/dispatch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/dispatch.py
@@ -1,7 +1,5 @@
 """The end of the chain: the call goes to a guard."""
 
-import time
-
 from burdockfront import outcomes
 from burdockfront_node.filters import base
 
@@ -18,10 +16,4 @@
     ) -> outcomes.Answer:
         """Asks nobody further."""
         assert entry.call is not None
-        if entry.parent is None:
-            return await self._dispatcher.call(entry.call)
-        begun_s = time.monotonic()
-        try:
-            return await self._dispatcher.call(entry.call)
-        finally:
-            entry.parent.deeper_s += time.monotonic() - begun_s
+        return await self._dispatcher.call(entry.call)
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -90,15 +90,14 @@
             self._waiting.pop(attempt_id, None)
         return refusal
 
-    def leave(self, service_s: float, deeper_s: float) -> None:
+    def leave(self, service_s: float) -> None:
         """Gives a slot back.
 
         Args:
             service_s: How long it was used.
-            deeper_s: The part of it that was spent in deeper calls.
         """
         now_s = time.monotonic()
-        self._follow(self._admission.release(service_s, now_s, deeper_s))
+        self._follow(self._admission.release(service_s, now_s))
 
     def tick(self) -> None:
         """Lets time pass, and takes a changed policy."""
@@ -135,7 +134,7 @@
         # then nobody else would ever return that slot.
         has_slot = future.done() and not future.cancelled()
         if has_slot and future.result() is None:
-            self.leave(0.0, 0.0)
+            self.leave(0.0)
 
     def _follow(self, step: admission_lib.Step) -> None:
         """Tells waiting calls what was decided."""
@@ -150,4 +149,4 @@
             waiting.settled.set_result(refusal)
         elif refusal is None:
             # Its caller has gone: the slot goes to the next one.
-            self.leave(0.0, 0.0)
+            self.leave(0.0)
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -220,43 +220,41 @@
         self._counters.handed_over += 1
         self._record("call.handed-over", attempt)
         self._stalls.handed(started_s)
-        handed: handover_lib.Handed | None = None
+        answer: outcomes.Answer | None = None
         try:
-            handed = await self._to_backend(attempt, nonce)
+            answer = await self._to_backend(attempt, nonce)
         finally:
             service_s = time.monotonic() - started_s
-            self._note_end(handed, service_s)
-            gate.leave(service_s, handed.deeper_s if handed else 0.0)
+            self._note_end(answer, service_s)
+            gate.leave(service_s)
         self._record(
             "call.answered",
             attempt,
-            outcome=handed.answer.outcome.value,
-            status=handed.answer.status,
+            outcome=answer.outcome.value,
+            status=answer.status,
             service_s=round(service_s, 4),
         )
-        return handed.answer
+        return answer
 
     async def _to_backend(
         self, attempt: calls.Attempt, nonce: str | None
-    ) -> handover_lib.Handed:
+    ) -> outcomes.Answer:
         announced = self.announcement
         if announced is None:
-            return handover_lib.Handed(_not_run(outcomes.Reason.NO_BACKEND))
+            return _not_run(outcomes.Reason.NO_BACKEND)
         limit_bytes = self._policy_of(announced.service).body_limit_bytes
         return await self._handover.run(announced, attempt, nonce, limit_bytes)
 
     def _note_end(
-        self, handed: handover_lib.Handed | None, service_s: float
+        self, answer: outcomes.Answer | None, service_s: float
     ) -> None:
         """Learns from how a hand-over ended, while its slot is still held."""
         assert self._gate is not None
-        if handed is None or (
-            handed.answer.outcome is outcomes.Outcome.UNKNOWN
-        ):
+        if answer is None or answer.outcome is outcomes.Outcome.UNKNOWN:
             self._stalls.gave_up()
             return
         self._stalls.answered(service_s, time.monotonic())
-        if handed.answer.reason is outcomes.Reason.OVERLOAD:
+        if answer.reason is outcomes.Reason.OVERLOAD:
             self._gate.shed_by_backend()
 
     def _refused(
--- a/packages/burdockfront-node/src/burdockfront_node/handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -15,19 +15,6 @@
 from burdockfront_node import backend as backend_lib
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Handed:
-    """How a hand-over ended.
-
-    Attributes:
-        answer: The answer, or what stands for it.
-        deeper_s: Time that the backend server spent in deeper calls.
-    """
-
-    answer: outcomes.Answer
-    deeper_s: float = 0.0
-
-
 class Handover:
     """The connection between a guard and its backend server.
 
@@ -53,7 +40,7 @@
         attempt: calls.Attempt,
         nonce: str | None,
         limit_bytes: int,
-    ) -> Handed:
+    ) -> outcomes.Answer:
         """Hands an attempt over and waits for its answer."""
         opened = self._attempts.begin(attempt.context)
         reply: peers_lib.Reply | None = None
@@ -76,14 +63,12 @@
             self._attempts.end(attempt.context.attempt_id)
         unspent = opened.pool.units
         if reply is not None:
-            answer = _answer_of(announced, attempt, reply, unspent)
-            return Handed(answer, _deeper_s(announced, opened, reply))
+            return _answer_of(announced, attempt, reply, unspent)
         if unreachable:
-            refusal = outcomes.not_run(
+            return outcomes.not_run(
                 outcomes.Reason.UNREACHABLE, admission.RETRY_AFTER_S, unspent
             )
-            return Handed(refusal)
-        return Handed(outcomes.unknown(outcomes.Reason.LOST_ANSWER))
+        return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
 
     def _headers(
         self,
@@ -107,16 +92,6 @@
         return headers
 
 
-def _deeper_s(
-    announced: backend_lib.Announcement,
-    opened: attempts_lib.OpenAttempt,
-    reply: peers_lib.Reply,
-) -> float:
-    if announced.embedded:
-        return float(reply.header(wire.DEEPER) or 0.0)
-    return opened.deeper_s
-
-
 def _answer_of(
     announced: backend_lib.Announcement,
     attempt: calls.Attempt,
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -74,9 +74,7 @@
     ) -> Step:
         """Takes a request that arrived."""
 
-    def release(
-        self, service_s: float, now_s: float, deeper_s: float = 0.0
-    ) -> Step:
+    def release(self, service_s: float, now_s: float) -> Step:
         """Takes back a slot."""
 
     def cancel(self, item_id: str) -> None:
@@ -141,20 +139,9 @@
         started = self._start(now_s)
         return Step(started, self._trim(now_s))
 
-    def release(
-        self, service_s: float, now_s: float, deeper_s: float = 0.0
-    ) -> Step:
-        """Frees a slot, learns the service time, starts the next.
-
-        Args:
-            service_s: How long the slot was held; 0 if nothing ran.
-            now_s: The current time.
-            deeper_s: The part of it that was spent in deeper calls.
-        """
+    def release(self, service_s: float, now_s: float) -> Step:
+        """Frees a slot, learns the service time, starts the next."""
         assert self.in_use > 0, "a slot is released once"
-        if service_s > 0.0:
-            own_s = max(0.0, service_s - deeper_s)
-            self._limit.served(own_s, self.in_use, now_s)
         self._count_busy(now_s)
         self.in_use -= 1
         self._service_s += _SERVICE_TIME_WEIGHT * (service_s - self._service_s)
