Process tests: two races of their own, seen in a fresh clone

'A backend server drains': two slow requests entered at nodes that did not have the longer deadline in force yet, and were given up after 0.7 s. 'Keys are replaced': no node came up within 60 s; the port chooser took ports from the range of outgoing connections, which can be gone before the process listens. The second is concluded from the code; its logs were gone with the directory. Ruled out: the drain itself (no announcement or refusal at the two requests). Change: the step verifies the change before it goes on (stricter than before); ports come from below that range. Nothing was eased.

--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -205,12 +205,22 @@
     assert found == state, found
 
 
+def _wait_until_in_force(world, change_id):
+    """An entry without the change would give up a slow request early."""
+
+    def in_force():
+        return world.command(f"verify change {change_id}").complete
+
+    worlds.eventually(in_force, f"{change_id} is in force everywhere")
+
+
 @given("{count:d} slow requests are under way")
 def slow_requests(context, count):
     world = context.world
     # Long enough that only the leaving itself could interrupt them.
-    world.command("set policy enrolment deadline_s = 20")
-    world.command("set policy enrolment attempt_timeout_s = 20")
+    for field in ("deadline_s", "attempt_timeout_s"):
+        view = world.command(f"set policy enrolment {field} = 20")
+        _wait_until_in_force(world, view.rows[-1]["change_id"])
     for number in range(count):
         node = world.cluster.machines[number % 5].name
         if node == "enrolment-1":
--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -8,6 +8,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -25,6 +26,7 @@
 OPERATOR_KEY = "bench-operator-key-01234567"
 _START_PATIENCE_S = 60.0
 _POLL_S = 0.1
+_PORTS = range(15_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,16 +64,25 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now."""
-    held = []
-    for _ in range(count):
-        holder = socket.socket()
-        holder.bind(("127.0.0.1", 0))
-        held.append(holder)
-    ports = [holder.getsockname()[1] for holder in held]
-    for holder in held:
-        holder.close()
-    return ports
+    """Returns ports that are free now.
+
+    Not from the range that the system gives to outgoing connections: such a
+    port can be taken by any of them before the process that it was chosen for
+    listens there, and that process would never come up.
+    """
+    candidates = list(_PORTS)
+    random.SystemRandom().shuffle(candidates)
+    found: list[int] = []
+    for port in candidates:
+        if len(found) == count:
+            break
+        with socket.socket() as holder:
+            try:
+                holder.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 @dataclasses.dataclass(slots=True)
