--- a/packages/burdockfront-bench/src/burdockfront_bench/callpath.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/callpath.py
@@ -21,6 +21,7 @@
 from burdockfront import context as context_lib
 from burdockfront_bench import arrivals
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import ports
 from burdockfront_client import calls
 from burdockfront_client import embedded
 
@@ -126,7 +127,7 @@
             "bench-caller", "dc1", [cluster_lib.PEER_KEY], echo.internal
         )
         await router.refresh()
-        relay = f"127.0.0.1:{cluster_lib.free_ports(1)[0]}"
+        relay = f"127.0.0.1:{ports.free_ports(1)[0]}"
         await cluster.start_helper(
             "relay",
             "burdockfront_bench.standins.bare_relay",
--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -8,9 +8,7 @@
 import dataclasses
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -20,13 +18,13 @@
 import orjson
 import yaml
 
+from burdockfront_bench import ports as ports_lib
 from burdockfront_bench.standins import proxy as proxy_lib
 
 PEER_KEY = "bench-peer-key-0123456789"
 OPERATOR_KEY = "bench-operator-key-01234567"
 _START_PATIENCE_S = 60.0
 _POLL_S = 0.1
-_PORTS = range(15_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,28 +61,6 @@
     backend_process: asyncio.subprocess.Process | None = None
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now.
-
-    Not from the range that the system gives to outgoing connections: such a
-    port can be taken by any of them before the process that it was chosen for
-    listens there, and that process would never come up.
-    """
-    candidates = list(_PORTS)
-    random.SystemRandom().shuffle(candidates)
-    found: list[int] = []
-    for port in candidates:
-        if len(found) == count:
-            break
-        with socket.socket() as holder:
-            try:
-                holder.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        found.append(port)
-    return found
-
-
 @dataclasses.dataclass(slots=True)
 class Layout:
     """What to start.
@@ -143,7 +119,7 @@
     def _plan(self) -> None:
         layout = self.layout
         count = sum(service.upstreams for service in layout.services)
-        ports = iter(free_ports(3 * count + 1))
+        ports = iter(ports_lib.free_ports(3 * count + 1))
         self.platform = f"127.0.0.1:{next(ports)}" if layout.platform else ""
         index = 0
         for service in layout.services:
@@ -179,7 +155,7 @@
         await self.wait_until_known(len(self.machines))
 
     async def _start_proxies(self) -> None:
-        ports = free_ports(len(self.machines))
+        ports = ports_lib.free_ports(len(self.machines))
         for machine, port in zip(self.machines, ports, strict=True):
             proxy = proxy_lib.FaultProxy(machine.internal)
             address = f"127.0.0.1:{port}"
