State: failing watchers, a sleeping node, a change during an outage

Found by the third, red first: the refusal named no remedy and did not say that nothing was changed ("did not answer ...; configuration stays as it is."). An operator could not tell it from a write whose answer was lost.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -56,3 +56,35 @@
     Then no node is ready
     When the platform service is up again
     Then every node is ready
+
+  Scenario: The watchers of a data centre fail one after the other
+    # Two nodes watch the platform service for all of them. One freezes, one
+    # dies. Without a successor a change would reach nobody until they return.
+    Given one watcher is frozen and the other one is killed
+    When a change is written to the platform service behind the nodes
+    Then that change is in force on all nodes that run
+    When the frozen watcher wakes
+    Then that change is in force on all nodes that run
+
+  Scenario: A node that slept offers an old revision
+    # It was frozen with a revision in force; another one came meanwhile. When
+    # it wakes, it exchanges with its peers at once, as if nothing had passed.
+    When the operator commands set policy fees retry.allowance = 1
+    Then the change is in force on all nodes
+    When the node enrolment-3 sleeps
+    And a later change is written to the platform service behind the nodes
+    Then that change is in force on all nodes that run
+    When the sleeping node wakes
+    Then that change is in force on all nodes that run
+    And no node ever went back in its revisions
+
+  Scenario: An operator changes a policy during an outage
+    # The command says at once that nothing was changed, and what to do; the
+    # same command succeeds when the outage is over, and once.
+    Given the platform service is down
+    When the operator tries to command set policy fees retry.allowance = 1
+    Then the operator is told that nothing was changed and to try again
+    When the platform service is up again
+    And the operator repeats the command until it is taken
+    Then the change is in force on all nodes
+    And the history of fees has 1 line
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -340,6 +340,35 @@
         )
 
 
+@given("one watcher is frozen and the other one is killed")
+def watchers_fail(context):
+    world = context.world
+    watchers = [
+        machine.name
+        for machine in world.cluster.machines
+        if world.status(machine.name)["watching"]
+    ]
+    assert len(watchers) == 2, watchers
+    context.asleep, killed = watchers
+    world.freeze(context.asleep)
+    world.kill(killed)
+    world.away.update(watchers)
+
+
+@when("the node {name} sleeps")
+def sleeps(context, name):
+    context.asleep = name
+    context.world.freeze(name)
+    context.world.away.add(name)
+
+
+@when("the frozen watcher wakes")
+@when("the sleeping node wakes")
+def sleeper_wakes(context):
+    context.world.wake(context.asleep)
+    context.world.away.discard(context.asleep)
+
+
 @given("the backend servers of {service} are gone")
 def backends_gone(context, service):
     world = context.world
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -89,7 +89,7 @@
     context.world.run(cluster.control_platform(stale_reads=False))
 
 
-def _put(context, service, document, change_id):
+def _put(context, service, document, change_id, expected=0):
     async def put():
         async with context.world.cluster.session.put(
             f"http://{context.world.cluster.platform}"
@@ -97,7 +97,7 @@
             data=orjson.dumps(
                 {
                     "value": {"document": document, "change_id": change_id},
-                    "expected": 0,
+                    "expected": expected,
                 }
             ),
         ) as response:
@@ -113,10 +113,19 @@
     context.change_id = "c-behind"
 
 
+@when("a later change is written to the platform service behind the nodes")
+def write_later_behind(context):
+    revision = context.world.status("fees-1")["applied"]["fees"]["revision"]
+    document = {"service": "fees", "retry": {"allowance": 5}}
+    _put(context, "fees", document, "c-later", revision)
+    context.change_id = "c-later"
+
+
 @then("that change is in force on all nodes")
+@then("that change is in force on all nodes that run")
 def that_in_force(context):
     def everywhere():
-        for machine in context.world.cluster.machines:
+        for machine in context.world.running():
             applied = context.world.status(machine.name)["applied"]
             if applied.get("fees", {}).get("change_id") != context.change_id:
                 return False
@@ -125,6 +134,51 @@
     worlds.eventually(everywhere, "the change is in force everywhere")
 
 
+@then("no node ever went back in its revisions")
+def never_back(context):
+    for machine in context.world.running():
+        view = context.world.command(
+            f"timeline node {machine.name} kind policy.in-force"
+        )
+        revisions = [
+            int(word.removeprefix("revision="))
+            for row in view.rows
+            for word in row["detail"].split()
+            if word.startswith("revision=")
+        ]
+        assert len(revisions) >= 2, view.rows
+        assert revisions == sorted(revisions), (machine.name, revisions)
+
+
+@when("the operator tries to command {text}")
+def operator_tries(context, text):
+    context.tried = text
+    try:
+        context.world.command(text)
+    except ctl_nodes.RefusedError as error:
+        context.refused = error
+
+
+@then("the operator is told that nothing was changed and to try again")
+def told_unchanged(context):
+    message = str(context.refused)
+    assert context.refused.kind == "PlatformUnavailableError", message
+    assert "nothing was changed" in message, message
+    assert "try again" in message, message
+
+
+@when("the operator repeats the command until it is taken")
+def operator_repeats(context):
+    def taken():
+        try:
+            operator_commands(context, context.tried)
+        except ctl_nodes.RefusedError:
+            return False
+        return True
+
+    worlds.eventually(taken, "the command is taken")
+
+
 @when("a document that no node can apply is written to the platform service")
 def write_bad(context):
     context.world.command("set policy fees retry.allowance = 1")
--- a/features/worlds.py
+++ b/features/worlds.py
@@ -81,6 +81,7 @@
         self.notes: dict[str, Any] = {}
         self.view: render.View | None = None
         self.saved_runs: list[dict[str, int]] = []
+        self.away: set[str] = set()
 
     def run(self, work: Awaitable[Any]) -> Any:
         """Runs work in the loop's thread and returns its result."""
@@ -102,6 +103,10 @@
         """Returns a machine by name."""
         return self.cluster.machine(name)
 
+    def running(self) -> list[cluster_lib.Machine]:
+        """Returns the machines whose nodes were not killed or frozen."""
+        return [m for m in self.cluster.machines if m.name not in self.away]
+
     async def send(
         self,
         node: str,
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
@@ -176,7 +176,8 @@
             self.backoff.failed(time.monotonic())
             raise errors.PlatformUnavailableError(
                 f"the platform service at {self._settings.address} did not "
-                f"answer ({error}); configuration stays as it is."
+                f"answer ({error}); what is in force stays as it is, try "
+                f"again in seconds."
             ) from None
         self.backoff.succeeded()
         return data
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
@@ -110,7 +110,12 @@
                 "this node runs without a platform service; set 'platform' "
                 "in its settings to change policies."
             )
-        current = await self._current(service)
+        try:
+            current = await self._current(service)
+        except errors.PlatformUnavailableError as error:
+            raise errors.PlatformUnavailableError(
+                f"nothing was changed: {error}"
+            ) from None
         revision = current.revision if current else 0
         configuration_lib.check_expected(service, expected, revision)
         before = _document_of(current, service)
