A node whose seeds were all down when it started joins them later

Asked while it hung: fees-1 was ready and knew only itself; the four others knew each other and not fees-1. It had started some 30 ms before its three seeds answered; the platform service was up, so it knew the configuration, said ready, and never looked for a seed again. Its seeds did not know of it. Seen from outside: "no such service" at one node, for ever, and an idle backend server. Two regions whose nodes are all replaced while they have lost each other would have stayed apart in the same way. Ruled out: a slow machine (all were ready within 0.2 s and idle), a lost push (nobody had an address to push to), the platform's seeds (written by a watcher 20 s apart, read only at the start).

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -46,3 +46,12 @@
     And browsing works at enrolment-1
     When the data centres reach each other again
     Then every node knows every node alive
+
+  Scenario: A node that started before all of its seeds finds them later
+    # It could read the configuration, so it said ready, and knew nobody. Its
+    # callers met "no such service", for ever, and nobody routed to it: each
+    # side had looked for the other only once.
+    Given all machines are killed and fees-1 is started again alone
+    And fees-1 is ready
+    When the other machines are started again
+    Then every node knows every node alive
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -202,6 +202,32 @@
     worlds.eventually(all_answer, "all nodes answer")
 
 
+@given("all machines are killed and {name} is started again alone")
+def start_alone(context, name):
+    world = context.world
+    for machine in world.cluster.machines:
+        kill_machine(context, machine.name)
+    machine = world.machine(name)
+    world.run(world.cluster.start_node(machine))
+    world.run(world.cluster.start_backend(machine))
+    context.alone = name
+
+
+@given("{name} is ready")
+def one_ready(context, name):
+    world = context.world
+    worlds.eventually(lambda: world.status(name)["ready"], f"{name} is ready")
+
+
+@when("the other machines are started again")
+def start_others(context):
+    world = context.world
+    for name in _others(world, context.alone):
+        machine = world.machine(name)
+        world.run(world.cluster.start_node(machine))
+        world.run(world.cluster.start_backend(machine))
+
+
 def _responds(world, name):
     try:
         return "ready" in world.status(name)
@@ -332,10 +358,7 @@
     world = context.world
     for machine in world.cluster.machines:
         worlds.eventually(
-            lambda name=machine.name: all(
-                member["status"] == "alive"
-                for member in world.members(name).values()
-            ),
+            lambda name=machine.name: _knows_all_alive(world, name),
             f"{machine.name} knows all alive",
         )
 
@@ -369,6 +392,13 @@
     context.world.away.discard(context.asleep)
 
 
+def _knows_all_alive(world, name):
+    members = world.members(name)
+    return len(members) == len(world.cluster.machines) and all(
+        member["status"] == "alive" for member in members.values()
+    )
+
+
 @given("the backend servers of {service} are gone")
 def backends_gone(context, service):
     world = context.world
--- a/packages/burdockfront-node/src/burdockfront_node/backend.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend.py
@@ -2,9 +2,10 @@
 
 There is no list of backend servers: each one announces itself to its node
 about once a second. Its reports lag and mislead, so only three things of an
-announcement are used: the address, the slots (as an upper bound) and whether
-it is leaving. That it is silent is judged by time, and that it is broken by
-what becomes of the requests it is handed.
+announcement are used: the address, the slots (as an upper bound; a claim that
+grows is believed on proof) and whether it is leaving. That it is silent is
+judged by time, and that it is broken by what becomes of the requests it is
+handed.
 """
 
 import dataclasses
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
@@ -43,7 +43,7 @@
         """Updates this node's entry if it says anything else."""
         announced = self._guard.announcement
         service = announced.service if announced else ""
-        slots = announced.slots if announced else 0
+        slots = self._guard.slots
         draining = not self._guard.takes_work
         me = self._exchange.membership.me
         if (me.service, me.slots, me.draining) != (service, slots, draining):
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -27,6 +27,7 @@
 from burdockfront_node import ticket_status
 from burdockfront_node.controllers import backends as backends_lib
 from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import joining as joining_lib
 from burdockfront_node.controllers import metrics as metrics_lib
 from burdockfront_node.controllers import platform as platform_lib
 from burdockfront_node.controllers import policies as policies_lib
@@ -36,7 +37,6 @@
 from burdockfront_node.internal import clocks
 
 _LOG = logging.getLogger(__name__)
-_JOIN_RETRY_S = 0.5
 _HOUSEKEEPING_S = 5.0
 _STOP_POLL_S = 0.05
 
@@ -110,6 +110,16 @@
         self._seeds = seeds_lib.Seeds(
             self._platform, self._exchange, self._policies
         )
+        self._joining = joining_lib.Joining(
+            settings.seeds,
+            self._platform is not None,
+            self._seeds,
+            self._policies,
+            self._exchange,
+            self._ready,
+            self._recorder,
+            self._rng,
+        )
 
     def _build_request_path(self) -> None:
         settings = self._settings
@@ -274,7 +284,7 @@
 
     def _start_tasks(self) -> None:
         for work in (
-            self._join(),
+            self._joining.join_forever(),
             self._guard.tick_forever(),
             self._exchange.probe_forever(),
             self._exchange.push_forever(),
@@ -288,26 +298,6 @@
             task.add_done_callback(_log_failure)
             self._tasks.append(task)
 
-    async def _join(self) -> None:
-        """Learns members and configuration, then says ready.
-
-        A node that has heard neither the platform service nor a node that is
-        ready does not know which configuration is in force. It serves
-        nothing then: with its defaults, an accepted change would be undone.
-        """
-        while not self._ready.is_set():
-            known = await self._policies.read()
-            addresses = [*self._settings.seeds, *await self._seeds.read()]
-            unique = list(dict.fromkeys(addresses))
-            known = await self._exchange.join(unique) > 0 or known
-            # Without a platform service there are no operators' documents.
-            if known or self._platform is None:
-                self._ready.set()
-                self._recorder.record(time.time(), "node.ready")
-                _LOG.info("ready")
-                return
-            await asyncio.sleep(_JOIN_RETRY_S)
-
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -56,6 +56,11 @@
         """Calls that wait or hold a slot."""
         return self._admission.in_use + len(self._waiting)
 
+    @property
+    def slots(self) -> int:
+        """Slots of the backend server, as far as its claim is believed."""
+        return self._limit.slots
+
     def level(self) -> int:
         """Returns the highest admitted priority number."""
         return self._admission.level()
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -87,6 +87,13 @@
         """Calls that wait or run here."""
         return self._gate.in_flight if self._gate else 0
 
+    @property
+    def slots(self) -> int:
+        """Slots that routers may count on; 0 without a backend server."""
+        if self.announcement is None or self._gate is None:
+            return 0
+        return self._gate.slots
+
     @property
     def draining(self) -> bool:
         """Whether it is leaving."""
