A growing claim of slots is believed on proof

Change: slots above what is proven are believed in steps of a quarter; a step is kept if requests at full use take as long as before, and taken back, with growing pauses, if they take longer by more than half the proportion. Members' entries carry the believed slots, so routers follow. A smaller claim is believed at once. Tests failing first: the limit rose to 40 at once. Not covered: a claim that is false from its first announcement.

--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -143,6 +143,7 @@
         """Frees a slot, learns the service time, starts the next."""
         assert self.in_use > 0, "a slot is released once"
         self._count_busy(now_s)
+        self._limit.completed(service_s, self.in_use, now_s)
         self.in_use -= 1
         self._service_s += _SERVICE_TIME_WEIGHT * (service_s - self._service_s)
         refused = self._give_up(now_s)
--- a/packages/burdockfront/src/burdockfront/membership.py
+++ b/packages/burdockfront/src/burdockfront/membership.py
@@ -62,7 +62,7 @@
         data_center: Its data centre.
         region: Its region.
         service: Service of its backend server; empty while none announced.
-        slots: Announced slots.
+        slots: Slots of its backend server that its guard believes.
         draining: It takes no new work.
     """
 
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -39,7 +39,7 @@
         service: Service of the backend server beside it.
         address: Where the node takes calls of nodes, `ip:port`.
         data_center: Its data centre.
-        slots: Slots that the backend server announced.
+        slots: Slots of the backend server that its guard believes.
         draining: It takes no new work.
         suspect: Members doubt that it is alive.
     """
--- /dev/null
+++ b/tests/unit/test_slot_claims.py
@@ -0,0 +1,81 @@
+"""A backend server that claims more and more slots is believed on proof."""
+
+import random
+
+import pytest
+
+from burdockfront import limits
+from burdockfront import slot_claims
+
+_SERVICE_S = 0.05
+
+
+def _serve(
+    claims: slot_claims.SlotClaims, true_slots: int, requests: int, seed: int
+) -> None:
+    """Ends requests of a server that is fully used all the time.
+
+    With more in its hands than it has slots, each takes longer in proportion.
+    """
+    rng = random.Random(seed)
+    now_s = 0.0
+    for _ in range(requests):
+        in_use = claims.believed
+        stretch = max(1.0, in_use / true_slots)
+        service_s = (0.5 + rng.expovariate(2.0)) * _SERVICE_S * stretch
+        now_s += service_s / in_use
+        claims.completed(service_s, in_use, now_s)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_claimed_slots_that_are_not_there_are_not_used(seed):
+    # Confirmations time out though their guard sheds nothing: the server
+    # announced 4 slots, then 40, and queues the other 36 inside itself, first
+    # come first served. One trial at a time may find that out, not all 36.
+    claims = slot_claims.SlotClaims(4)
+    claims.claim(40)
+    assert claims.believed == 4
+    _serve(claims, true_slots=4, requests=3000, seed=seed)
+    assert claims.believed <= 6
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_claimed_slots_that_are_there_come_into_use(seed):
+    claims = slot_claims.SlotClaims(4)
+    claims.claim(16)
+    _serve(claims, true_slots=16, requests=20_000, seed=seed)
+    assert claims.believed >= 13
+
+
+def test_smaller_claim_is_believed_at_once():
+    claims = slot_claims.SlotClaims(8)
+    claims.claim(3)
+    assert claims.believed == 3
+
+
+def test_server_that_is_not_fully_used_proves_nothing():
+    claims = slot_claims.SlotClaims(4)
+    claims.claim(40)
+    for number in range(2000):
+        claims.completed(_SERVICE_S, 3, number * 0.01)
+    assert claims.believed == 4
+
+
+def test_quick_refusals_are_no_proof():
+    # The server sheds what its claim promised. Its refusals take no time, and
+    # taken for service they would prove any number of slots.
+    claims = slot_claims.SlotClaims(4)
+    claims.claim(40)
+    _serve(claims, true_slots=4, requests=104, seed=1)
+    assert claims.believed == 5
+    claims.shed(10.0)
+    assert claims.believed == 4
+
+
+def test_limit_follows_what_is_believed_not_what_is_claimed():
+    # As above, seen from the guard's limit. Before, the limit rose to 40 with
+    # the announcement.
+    limit = limits.ConcurrencyLimit(4, 0.0, 0.0)
+    limit.announce(40, False, 1.0)
+    assert limit.current(1.1) == 4
+    assert limit.slots == 4
