--- a/packages/burdockfront-bench/src/burdockfront_bench/analysis.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/analysis.py
@@ -12,6 +12,7 @@
   good ones is at most 5% above the highest window before the trigger.
 """
 
+import collections
 import dataclasses
 from typing import Any
 
@@ -145,6 +146,27 @@
     return None
 
 
+def endings(
+    scenario: scenario_lib.Scenario, results: list[callers.Result]
+) -> list[str]:
+    """Returns how requests ended that arrived during the trigger.
+
+    One line per kind, outcome and reason, the most frequent first: what the
+    shares of a summary are made of.
+    """
+    begin_s = scenario.before_s
+    end_s = begin_s + scenario.trigger_s
+    counted = collections.Counter(
+        (r.kind, r.outcome, r.reason or "-")
+        for r in results
+        if begin_s <= r.at_s < end_s
+    )
+    return [
+        f"{count:6d} {kind} {outcome} {reason}"
+        for (kind, outcome, reason), count in counted.most_common()
+    ]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Window:
     """Figures of half a second of arrivals."""
--- a/packages/burdockfront-bench/src/burdockfront_bench/bench.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/bench.py
@@ -9,6 +9,7 @@
 import cyclopts
 import uvloop
 
+from burdockfront_bench import burst
 from burdockfront_bench import callpath
 from burdockfront_bench import experiment
 from burdockfront_bench import scale
@@ -36,11 +37,13 @@
     run_callpath()
     experiment.main(out=_OUT)
     scale.main(out=_OUT)
+    burst.main(out=_OUT)
     slopes.main()
 
 
 app.command(experiment.main, name="scenarios")
 app.command(scale.main, name="scale")
+app.command(burst.main, name="burst")
 app.command(slopes.main, name="slopes")
 
 if __name__ == "__main__":
--- a/packages/burdockfront-bench/src/burdockfront_bench/demo.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/demo.py
@@ -33,11 +33,6 @@
     load_lib.Phase(3 * _BASE_PER_S, 6.0),
     load_lib.Phase(_BASE_PER_S, 4.0),
 ]
-_MIX = [
-    callers.Kind("browse", "GET", "/catalogue/classes", 0.55),
-    callers.Kind("overview", "GET", "/enrolment/overview", 0.30),
-    callers.Kind("confirm", "POST", "/enrolment/confirm", 0.15),
-]
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,7 +79,7 @@
     load = load_lib.Load(
         name="demo",
         entries=[machine.caller for machine in cluster.machines],
-        mix=_MIX,
+        mix=mesh.gandhinagar_mix(),
         phases=_PHASES,
         deadline_s=_DEADLINE_S,
         start_at_s=time.time(),
--- a/packages/burdockfront-bench/src/burdockfront_bench/experiment.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/experiment.py
@@ -16,20 +16,15 @@
 from burdockfront_bench import analysis
 from burdockfront_bench import callers
 from burdockfront_bench import cluster as cluster_lib
-from burdockfront_bench import faults
 from burdockfront_bench import load as load_lib
 from burdockfront_bench import mesh
 from burdockfront_bench import plots
 from burdockfront_bench import scenario as scenario_lib
+from burdockfront_bench import trouble
 
 _DEADLINE_S = 2.0
 _LOADERS = 3
 _LEAD_S = 2.5
-_MIX = [
-    callers.Kind("browse", "GET", "/catalogue/classes", 0.55),
-    callers.Kind("overview", "GET", "/enrolment/overview", 0.30),
-    callers.Kind("confirm", "POST", "/enrolment/confirm", 0.15),
-]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,20 +37,24 @@
 
 async def run(scenario: scenario_lib.Scenario, control: str, seed: int) -> Run:
     """Runs one scenario under one control."""
+    graph = mesh.graph(scenario.graph)
     layout = cluster_lib.Layout(
-        services=mesh.gandhinagar(), proxied=scenario.proxied
+        services=graph.services,
+        data_centers=graph.data_centers,
+        proxied=scenario.proxied,
     )
+    planned = _planned(scenario, graph.services, seed)
     async with cluster_lib.running(layout) as cluster:
         await _set_control(cluster, control)
         start_at_s = time.time() + _LEAD_S
         loading = asyncio.create_task(
-            _load(cluster, scenario, start_at_s, seed)
+            _load(cluster, scenario, graph.mix, start_at_s, seed)
         )
-        trouble = asyncio.create_task(
-            _make_trouble(cluster, scenario, start_at_s)
+        making = asyncio.create_task(
+            trouble.make(cluster, planned, start_at_s + scenario.before_s)
         )
         results = await loading
-        ledgers = await trouble
+        ledgers = await making
         for name, parts in (await _ledgers(cluster)).items():
             ledgers.setdefault(name, []).extend(parts)
         summary = analysis.summarize(
@@ -97,13 +96,14 @@
 async def _load(
     cluster: cluster_lib.Cluster,
     scenario: scenario_lib.Scenario,
+    mix: list[callers.Kind],
     start_at_s: float,
     seed: int,
 ) -> list[callers.Result]:
     processes = []
     outputs = []
     for number in range(_LOADERS):
-        load = _load_of(cluster, scenario, start_at_s, seed, number)
+        load = _load_of(cluster, scenario, mix, start_at_s, seed, number)
         path = cluster.directory / f"load-{number}.json"
         path.write_bytes(orjson.dumps(dataclasses.asdict(load)))
         outputs.append(pathlib.Path(load.output))
@@ -127,6 +127,7 @@
 def _load_of(
     cluster: cluster_lib.Cluster,
     scenario: scenario_lib.Scenario,
+    mix: list[callers.Kind],
     start_at_s: float,
     seed: int,
     number: int,
@@ -136,7 +137,7 @@
     return load_lib.Load(
         name=f"load{seed}-{number}",
         entries=[m.caller for m in cluster.machines],
-        mix=_MIX,
+        mix=mix,
         phases=[
             load_lib.Phase(rate_per_s, scenario.before_s),
             load_lib.Phase(surge_per_s, scenario.trigger_s, scenario.repeats),
@@ -149,44 +150,23 @@
     )
 
 
-async def _make_trouble(
-    cluster: cluster_lib.Cluster,
+def _planned(
     scenario: scenario_lib.Scenario,
-    start_at_s: float,
-) -> dict[str, list[dict[str, Any]]]:
-    """Brings the faults about in time.
-
-    Returns:
-        What backend servers that are ended had counted so far.
-    """
-    begin_s = start_at_s + scenario.before_s
-    await asyncio.sleep(begin_s - time.time())
-    saved = await _ledgers_of_doomed(cluster, scenario)
-    undoing = []
-    for fault in scenario.faults:
-        undo = await faults.begin(cluster, fault)
-        until_s = fault.until_s or scenario.trigger_s
-        undoing.append(asyncio.create_task(_undo(undo, begin_s + until_s)))
-    if undoing:
-        await asyncio.gather(*undoing)
-    return saved
-
-
-async def _undo(undo: faults.Undo, at_s: float) -> None:
-    await asyncio.sleep(at_s - time.time())
-    await undo()
-
-
-async def _ledgers_of_doomed(
-    cluster: cluster_lib.Cluster, scenario: scenario_lib.Scenario
-) -> dict[str, list[dict[str, Any]]]:
-    saved: dict[str, list[dict[str, Any]]] = {}
-    for fault in scenario.faults:
-        if fault.kind in ("kill", "drain"):
-            for machine in cluster.of_service(fault.service)[: fault.count]:
-                ledger = await cluster.ledger(machine)
-                saved.setdefault(fault.service, []).append(ledger)
-    return saved
+    services: list[cluster_lib.Service],
+    seed: int,
+) -> list[scenario_lib.Fault]:
+    """Returns all faults, each with its end."""
+    planned = list(scenario.faults)
+    if scenario.drawn is not None:
+        planned += trouble.draw(
+            scenario.drawn, services, scenario.trigger_s, seed
+        )
+    return [
+        fault.model_copy(
+            update={"until_s": fault.until_s or scenario.trigger_s}
+        )
+        for fault in planned
+    ]
 
 
 async def _ledgers(
@@ -195,6 +175,8 @@
     found: dict[str, list[dict[str, Any]]] = {}
     for machine in cluster.machines:
         ledger = await cluster.ledger(machine)
+        # The journal also has what a process counted that was killed since.
+        ledger["runs"] = cluster.journaled_runs(machine)
         found.setdefault(machine.service, []).append(ledger)
     return found
 
@@ -236,6 +218,7 @@
             print(f"seed {seed}: {scenario.name} under {each}", flush=True)
             runs[each] = asyncio.run(run(scenario, each, seed))
             summaries.append(runs[each].summary)
+            print("\n".join(analysis.endings(scenario, runs[each].results)))
             print(analysis.table([runs[each].summary]), flush=True)
         plots.draw_runs(
             scenario,
--- a/packages/burdockfront-bench/src/burdockfront_bench/faults.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/faults.py
@@ -17,12 +17,20 @@
     cluster: cluster_lib.Cluster, fault: scenario_lib.Fault
 ) -> Undo:
     """Brings a fault about and returns what undoes it."""
-    machines = cluster.of_service(fault.service)[: fault.count]
+    machines = machines_of(cluster, fault)
     make = FAULTS.get(fault.kind)
     undo: Undo = await make(cluster, machines, fault)
     return undo
 
 
+def machines_of(
+    cluster: cluster_lib.Cluster, fault: scenario_lib.Fault
+) -> list[cluster_lib.Machine]:
+    """Returns the machines that a fault hits."""
+    machines = cluster.of_service(fault.service)
+    return machines[fault.first : fault.first + fault.count]
+
+
 @FAULTS.register("slow")
 async def slow(
     cluster: cluster_lib.Cluster,
@@ -148,6 +156,40 @@
     return undo
 
 
+@FAULTS.register("unreachable")
+async def unreachable(
+    cluster: cluster_lib.Cluster,
+    machines: list[cluster_lib.Machine],
+    fault: scenario_lib.Fault,
+) -> Undo:
+    """Other nodes reach these no more; their callers and backends do."""
+    for machine in machines:
+        proxy = cluster.proxies[machine.name]
+        proxy.rules.refuse = True
+        proxy.cut_open_connections()
+
+    async def undo() -> None:
+        for machine in machines:
+            cluster.proxies[machine.name].rules.refuse = False
+
+    return undo
+
+
+@FAULTS.register("platform-down")
+async def platform_down(
+    cluster: cluster_lib.Cluster,
+    machines: list[cluster_lib.Machine],
+    fault: scenario_lib.Fault,
+) -> Undo:
+    """The platform's service answers nothing."""
+    await cluster.control_platform(down=True)
+
+    async def undo() -> None:
+        await cluster.control_platform(down=False)
+
+    return undo
+
+
 def _signal(process: object, number: signal.Signals) -> None:
     if isinstance(process, cluster_lib.asyncio.subprocess.Process):
         process.send_signal(number)
--- a/packages/burdockfront-bench/src/burdockfront_bench/meter.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/meter.py
@@ -1,5 +1,6 @@
 """What processes of nodes spend: traffic, processor, memory."""
 
+import copy
 import dataclasses
 import os
 import pathlib
@@ -59,8 +60,24 @@
         ]
         self._before = {pid: _sample(pid) for pid in self._pids}
 
+    def renewed(self) -> "Meter":
+        """Returns a meter of the same processes that starts now."""
+        fresh = copy.copy(self)
+        fresh._before = {pid: _sample(pid) for pid in self._pids}
+        return fresh
+
     def cost(self) -> Cost:
         """Returns the mean cost per node since the start."""
+        costs = self.costs()
+        return Cost(
+            *(
+                statistics.mean(getattr(c, f.name) for c in costs)
+                for f in dataclasses.fields(Cost)
+            )
+        )
+
+    def costs(self) -> list[Cost]:
+        """Returns the cost of each node since the start."""
         costs = []
         for pid in self._pids:
             before, after = self._before[pid], _sample(pid)
@@ -73,9 +90,4 @@
                     after.rss_bytes,
                 )
             )
-        return Cost(
-            *(
-                statistics.mean(getattr(c, f.name) for c in costs)
-                for f in dataclasses.fields(Cost)
-            )
-        )
+        return costs
--- a/packages/burdockfront-bench/src/burdockfront_bench/scale.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/scale.py
@@ -51,18 +51,22 @@
     join_max_s: float
 
 
-async def measure(count: int) -> Row:
-    """Runs `count` nodes and returns their figures."""
+def layout_of(count: int) -> cluster_lib.Layout:
+    """Returns `count` nodes in 2 regions of 3 data centres each."""
     services = [cluster_lib.Service(f"s{n}", 1, 40, {}) for n in range(count)]
-    layout = cluster_lib.Layout(
+    return cluster_lib.Layout(
         services=services,
         data_centers=[f"dc{n}" for n in range(6)],
         regions={f"dc{n}": f"r{n // 3}" for n in range(6)},
         with_backends=False,
         node_settings={"gossip": {"period_s": 1.0}, "events": 5000},
     )
-    async with cluster_lib.running(layout) as cluster:
-        announcing = asyncio.create_task(_announce_forever(cluster))
+
+
+async def measure(count: int) -> Row:
+    """Runs `count` nodes and returns their figures."""
+    async with cluster_lib.running(layout_of(count)) as cluster:
+        announcing = asyncio.create_task(announce_forever(cluster))
         await asyncio.sleep(_SETTLE_S)
         row = await _measure(cluster, count)
         announcing.cancel()
@@ -110,7 +114,8 @@
     )
 
 
-async def _announce_forever(cluster: cluster_lib.Cluster) -> None:
+async def announce_forever(cluster: cluster_lib.Cluster) -> None:
+    """Announces a backend server to each node once a second."""
     while True:
         await asyncio.gather(
             *(_announce(cluster, m) for m in cluster.machines),
--- a/packages/burdockfront-bench/src/burdockfront_bench/scenario.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/scenario.py
@@ -32,32 +32,53 @@
 
 
 class Fault(_Model):
-    """Something that goes wrong at the begin of the trigger.
+    """Something that goes wrong during the trigger.
 
     Attributes:
         kind: Name of a registered fault (see `faults`).
-        service: The service it hits.
+        service: The service it hits; empty if it hits none.
         count: How many of its backend servers.
+        first: The first of them.
         factor: How much slower, for `slow`.
         slots: What a lie says, for `lie`.
+        begin_s: Brought about so long after the begin of the trigger.
         until_s: Undone so long after the begin of the trigger; by default
             at its end.
     """
 
     kind: str
-    service: str
+    service: str = ""
     count: int = 1
+    first: int = 0
     factor: float = 5.0
     slots: int = 40
+    begin_s: float = 0.0
     until_s: float | None = None
 
 
+class DrawnFaults(_Model):
+    """Faults that are drawn at random (see `trouble`).
+
+    Attributes:
+        kinds: Which kinds, each as likely as the others.
+        every_s: Mean time between two.
+        shortest_s: Least length of one.
+        longest_s: Greatest length of one.
+    """
+
+    kinds: list[str]
+    every_s: float = 4.0
+    shortest_s: float = 2.0
+    longest_s: float = 10.0
+
+
 class Scenario(_Model):
     """One experiment.
 
     Attributes:
         name: Its name.
         about: What happens, in a sentence.
+        graph: Name of a registered call graph (see `mesh`).
         base_per_s: Load before and after the trigger.
         surge: Load during the trigger, as a multiple.
         repeats: How often callers repeat at once during the trigger.
@@ -65,11 +86,13 @@
         trigger_s: Length of the trigger.
         after_s: Length of the phase after it.
         faults: What goes wrong.
+        drawn: Faults drawn at random besides.
         proxied: Nodes talk through a fault-injecting proxy.
     """
 
     name: str
     about: str
+    graph: str = "gandhinagar"
     base_per_s: float = 160.0
     surge: float = 1.0
     repeats: int = 0
@@ -77,6 +100,7 @@
     trigger_s: float = 10.0
     after_s: float = 8.0
     faults: list[Fault] = []
+    drawn: DrawnFaults | None = None
     proxied: bool = False
 
 
--- a/packages/burdockfront-bench/src/burdockfront_bench/spread.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/spread.py
@@ -55,14 +55,14 @@
     raise TimeoutError(f"{change_id} is not in force everywhere")
 
 
-async def _events(
+async def events(
     cluster: cluster_lib.Cluster,
     machines: list[cluster_lib.Machine],
     member: str,
     kind: str,
     since_s: float,
 ) -> list[float]:
-    """Returns when each node recorded an event about a member."""
+    """Returns how long each node took to record an event of a member."""
     found = await asyncio.gather(
         *(
             cluster.operator(m, "events", {"kind": kind, "most": 5000})
@@ -92,7 +92,7 @@
     until_s = time.monotonic() + _DETECT_S
     while time.monotonic() < until_s:
         await asyncio.sleep(0.5)
-        times = await _events(cluster, machines, member, kind, since_s)
+        times = await events(cluster, machines, member, kind, since_s)
         if len(times) == len(machines):
             return max(times)
     return float("nan")
@@ -120,7 +120,7 @@
     dead = await _until_all(
         cluster, others, target.name, "member.dead", since_s
     )
-    suspect = await _events(
+    suspect = await events(
         cluster, others, target.name, "member.suspect", since_s
     )
     return max(suspect, default=float("nan")), dead
--- a/packages/burdockfront-bench/src/burdockfront_bench/standins/backend.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/backend.py
@@ -63,6 +63,8 @@
         announce_s: Time between announcements.
         seed: Seed of service times.
         cold: It starts cold.
+        journal: File that each run of a confirmation is written to at once,
+            so that a killed process still bears witness; none if empty.
     """
 
     service: str
@@ -77,6 +79,7 @@
     announce_s: float = 0.5
     seed: int = 1
     cold: bool = False
+    journal: str = ""
 
 
 def spec_from_json(data: dict[str, Any]) -> Spec:
@@ -208,8 +211,12 @@
 
     def _count_run(self, request: asgi.Request) -> None:
         key = request.header(wire.IDEMPOTENCY_KEY.lower())
-        if key is not None:
-            self.runs[key] = self.runs.get(key, 0) + 1
+        if key is None:
+            return
+        self.runs[key] = self.runs.get(key, 0) + 1
+        if self._spec.journal:
+            with pathlib.Path(self._spec.journal).open("a") as journal:
+                journal.write(f"{key}\n")
 
     def _note_work(self, request: asgi.Request, spent_s: float) -> None:
         """Notes starts and slot-seconds by whole request."""
--- a/tests/unit/test_analysis.py
+++ b/tests/unit/test_analysis.py
@@ -41,3 +41,11 @@
     )
     assert late.waste_share == 0.25
     assert late.doubled == 1
+
+
+def test_endings_count_only_what_arrived_during_the_trigger():
+    lines = analysis.endings(_SCENARIO, _results(5.0))
+    assert [line.split() for line in lines] == [
+        ["40", "browse", "not-run", "-"],
+        ["40", "browse", "done", "-"],
+    ]
