News of members is batched, told less often, and paced

Change: members' news waits 0.1 s and travels up to 24 to a message; a change is told to 6 peers instead of 9; members are repaired once our own table has stood still for 1 s (documents still at once); pushes and repairs of members have a budget of bytes per second, members_bytes_per_s, 6000 by default; a starting node asks seeds in any order and stops after three that are ready. Also: guard.slots and guard.slots_claimed, 'why node' tells both, and a scenario for it; good share of what was offered as a column of scenarios.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -6,6 +6,14 @@
     Then the answer is not-run with any status
     And asking why that request ended so explains it
 
+  Scenario: A claim of slots that grows is not taken at its word
+    # The backend server has 4 slots and announces 40. Believed, it would
+    # queue 36 requests inside itself, where no priority reaches; confirmations
+    # would time out although no guard sheds anything.
+    When the backend server of fees-1 claims 40 slots
+    Then every node counts 4 slots at fees-1
+    And asking why fees-1 is as it is tells both numbers
+
   Scenario: A wrong key is refused and noted
     When somebody asks fees-1 for its status with a wrong key
     Then it is refused with 401
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -234,6 +234,32 @@
     assert view.rows
 
 
+@when("the backend server of {node} claims {slots:d} slots")
+def claims_slots(context, node, slots):
+    world = context.world
+    machine = world.machine(node)
+    world.run(world.cluster.control_backend(machine, lied_slots=slots))
+
+    def announced():
+        gauges = world.status(node)["gauges"]
+        return gauges["guard.slots_claimed"] == slots
+
+    worlds.eventually(announced, f"{node} has heard the claim")
+
+
+@then("every node counts {slots:d} slots at {node}")
+def counts_slots(context, slots, node):
+    world = context.world
+    for machine in world.cluster.machines:
+        assert world.members(machine.name)[node]["slots"] == slots
+
+
+@then("asking why {node} is as it is tells both numbers")
+def tells_slots(context, node):
+    view = context.world.command(f"why node {node}")
+    assert "claims 40 slots, 4 are believed" in view.remarks[-1], view.remarks
+
+
 @when("the operator key of {node} is replaced")
 def replace_key(context, node):
     world = context.world
--- a/packages/burdockfront-bench/src/burdockfront_bench/analysis.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/analysis.py
@@ -6,6 +6,9 @@
   without error, within the caller's deadline.
 * Goodput share: good requests per second during the trigger, divided by
   those before it. Above 1 when capacity lets more through than the base load.
+* Good share: good requests of those offered during the trigger. Without a
+  surge it says more than the goodput share, whose base is a few seconds of
+  random arrivals.
 * Waste: slot-seconds spent on requests that were not good, as a share of all.
 * Recovery: time from the end of the trigger to the first of four windows in
   a row (2 s) that are normal: at least 95% of arrivals are good, and p95 of
@@ -35,6 +38,7 @@
         control: Which control was in force.
         offered_per_s: Arrivals during the trigger.
         goodput_share: See the module.
+        good_share: See the module.
         confirm_offered_per_s: Confirmations offered during the trigger.
         confirm_good_share: Good ones of those offered.
         waste_share: See the module.
@@ -53,6 +57,7 @@
     control: str
     offered_per_s: float
     goodput_share: float
+    good_share: float
     confirm_offered_per_s: float
     confirm_good_share: float
     waste_share: float
@@ -105,6 +110,7 @@
         control=control,
         offered_per_s=len(during) / scenario.trigger_s,
         goodput_share=len(good_during) / scenario.trigger_s / base_per_s,
+        good_share=_share(len(good_during), len(during)),
         confirm_offered_per_s=len(confirms) / scenario.trigger_s,
         confirm_good_share=_share(
             sum(good(r, deadline_s) for r in confirms), len(confirms)
@@ -216,17 +222,19 @@
 def table(summaries: list[Summary]) -> str:
     """Returns the figures as a Markdown table."""
     lines = [
-        "| scenario | control | offered/s | goodput share | confirms good | "
+        "| scenario | control | offered/s | goodput share | good share | "
+        "confirms good | "
         "waste | recovery s | by goodput s | retries/req | most starts | "
         "doubled | unknown | p50 ms | p99 ms |",
-        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+        "|" + "---|" * 15,
     ]
     for s in summaries:
         recovery = _or_not_in_run(s.recovery_s)
         by_goodput = _or_not_in_run(s.recovery_by_goodput_s)
         lines.append(
             f"| {s.scenario} | {s.control} | {s.offered_per_s:.0f} | "
-            f"{s.goodput_share:.2f} | {s.confirm_good_share:.3f} | "
+            f"{s.goodput_share:.2f} | {s.good_share:.3f} | "
+            f"{s.confirm_good_share:.3f} | "
             f"{s.waste_share:.3f} | {recovery} | {by_goodput} | "
             f"{s.retries_per_request:.3f} | {s.most_starts} | {s.doubled} | "
             f"{s.unknown} | {s.p50_ms:.0f} | {s.p99_ms:.0f} |"
--- a/packages/burdockfront-bench/src/burdockfront_bench/burst.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/burst.py
@@ -59,9 +59,18 @@
     restart: Burst
 
 
-async def measure(count: int) -> Row:
-    """Runs `count` nodes, loses a data centre, and gets it back."""
-    async with cluster_lib.running(scale.layout_of(count)) as cluster:
+async def measure(count: int, members_bytes_per_s: float | None) -> Row:
+    """Runs `count` nodes, loses a data centre, and gets it back.
+
+    Args:
+        count: Number of nodes.
+        members_bytes_per_s: Budget for news of members; None for the default.
+    """
+    layout = scale.layout_of(count)
+    if members_bytes_per_s is not None:
+        gossip = layout.node_settings["gossip"]
+        gossip["members_bytes_per_s"] = members_bytes_per_s
+    async with cluster_lib.running(layout) as cluster:
         announcing = asyncio.create_task(scale.announce_forever(cluster))
         await asyncio.sleep(_SETTLE_S)
         meter = meter_lib.Meter(cluster)
@@ -170,17 +179,23 @@
 
 
 @app.default
-def main(*nodes: int, out: pathlib.Path = pathlib.Path("out")) -> None:
+def main(
+    *nodes: int,
+    members_bytes_per_s: float | None = None,
+    out: pathlib.Path = pathlib.Path("out"),
+) -> None:
     """Measures at each number of nodes and prints a table.
 
     Args:
         nodes: Numbers of nodes; 24 and 48 if none is given.
+        members_bytes_per_s: Another budget for news of members, to see it
+            bind with few nodes.
         out: Where results go.
     """
     out.mkdir(parents=True, exist_ok=True)
     rows = []
     for count in nodes or (24, 48):
-        rows.append(asyncio.run(measure(count)))
+        rows.append(asyncio.run(measure(count, members_bytes_per_s)))
         print(table(rows[-1:]), flush=True)
     document = [dataclasses.asdict(row) for row in rows]
     (out / "burst.json").write_bytes(orjson.dumps(document))
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
@@ -244,7 +244,24 @@
         f"{', draining' if member['draining'] else ''}; ejected by "
         f"{', '.join(ejecting) or 'nobody'}."
     )
+    view.remarks += [
+        _explain_slots(r.data["gauges"])
+        for r in replies
+        if r.data and r.node == name and r.data["gauges"]["guard.slots"]
+    ]
     return view
 
 
+def _explain_slots(gauges: dict[str, float]) -> str:
+    claimed = int(gauges["guard.slots_claimed"])
+    believed = int(gauges["guard.slots"])
+    if believed >= claimed:
+        return f"Its backend server has {claimed} slots."
+    return (
+        f"Its backend server claims {claimed} slots, {believed} are believed: "
+        f"more are tried while all are in use, and kept if requests take no "
+        f"longer. If it really has them, restart it with that number."
+    )
+
+
 _ABOUT_A_NODE = ("backend", "node", "operator", "key")
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
@@ -50,6 +50,14 @@
             self._exchange.update_me(
                 service=service, slots=slots, draining=draining
             )
+        if announced and slots != me.slots:
+            self._recorder.record(
+                time.time(),
+                "backend.slots",
+                service=service,
+                claimed=announced.slots,
+                believed=slots,
+            )
 
     async def watch_forever(self) -> None:
         """Withdraws a backend server that no longer announces itself."""
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -6,7 +6,8 @@
 * A repair exchanges the entries of differing buckets in both directions.
 
 The cost per node does not depend on the number of nodes; what grows with it
-is only the number of changes.
+is only the number of changes, and those of members are paced (see
+`burdockfront.exchange_pace`). Documents are repaired at once.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 
 from burdockfront import configuration as configuration_lib
 from burdockfront import errors
+from burdockfront import exchange_pace
 from burdockfront import membership as membership_lib
 from burdockfront import tables
 from burdockfront import timeline
@@ -35,11 +37,22 @@
 
 _HELPERS = 2
 _RIDERS = 6
+_PUSHED_AT_ONCE = 24
+# A member's news is told to the peers of one push, and three more times: by a
+# second push if other news follows, or on probes.
+_ON_PROBES = 3
 _PUSH_DELAY_S = 0.01
+# Members change in bunches when many are lost at once. A short wait puts a
+# bunch into one message; six such hops are still within a second.
+_MEMBERS_DELAY_S = 0.1
 _PROBE_SHARE = 0.4
 _MIN_PROBE_S = 0.25
 _SYNC_TIMEOUT_S = 3.0
 _LIMIT_BYTES = 4_000_000
+# Pushes and probes bring news of a change within about a second.
+_QUIET_S = 1.0
+_LONGEST_UNEQUAL_S = 30.0
+_BURST_BYTES = 16_384
 
 
 class Exchange:
@@ -78,9 +91,16 @@
         self._on_members = on_members
         self._rng = rng
         self._peers = peers_lib.Peers(source_ip)
-        self._member_rumors = tables.Rumors(settings.fanout)
-        self._policy_rumors = tables.Rumors(settings.fanout)
+        self._member_rumors = tables.Rumors(settings.fanout + _ON_PROBES)
+        # Few, and in force within seconds: told three times as often.
+        self._policy_rumors = tables.Rumors(settings.fanout * settings.fanout)
         self._news = asyncio.Event()
+        rate = settings.members_bytes_per_s / 2
+        self._push_budget = exchange_pace.ByteBudget(rate, _BURST_BYTES)
+        self._repair_budget = exchange_pace.ByteBudget(rate, _BURST_BYTES)
+        self._repair_pace = exchange_pace.RepairPace(
+            _QUIET_S, _LONGEST_UNEQUAL_S, time.monotonic()
+        )
         self.sent_bytes = 0
         self.received_bytes = 0
         self.messages = 0
@@ -131,25 +151,35 @@
         """Pushes changes to a few peers as soon as there are any."""
         while True:
             await self._news.wait()
-            # Changes come in bunches; a moment's wait sends them together.
-            await asyncio.sleep(_PUSH_DELAY_S)
+            urgent = bool(self._policy_rumors)
+            await asyncio.sleep(_PUSH_DELAY_S if urgent else _MEMBERS_DELAY_S)
             self._news.clear()
             await self._push_round()
 
-    async def join(self, addresses: list[str]) -> int:
-        """Exchanges everything with some nodes.
+    async def join(self, addresses: list[str], enough: int) -> int:
+        """Exchanges everything with some nodes, drawn from `addresses`.
+
+        In any order: a data centre that starts at once would fetch whole
+        tables from the one seed that everybody's list begins with. And not
+        with all of them: what a few don't know, the first probes repair.
+
+        Args:
+            addresses: Whom to ask.
+            enough: Ends after so many that know the configuration.
 
         Returns:
-            How many of them know the configuration.
+            How many of those asked know the configuration.
         """
         ready = 0
-        for address in addresses:
+        for address in self._rng.sample(addresses, len(addresses)):
             if address == self.membership.me.address:
                 continue
             try:
-                ready += await self._repair(address)
+                ready += await self._repair(address, members=True)
             except errors.DispatchError as error:
                 _LOG.info("seed not reached", extra={"why": str(error)})
+            if ready >= enough:
+                break
         return ready
 
     async def close(self) -> None:
@@ -185,12 +215,15 @@
         members = self.membership.table
         documents = self.configuration.table
         answer = {
-            "m": [e.to_json() for e in members.differing(message["mb"])],
+            "m": [],
             "c": [e.to_json() for e in documents.differing(message["cb"])],
-            "mb": members.bucket_digests(),
             "cb": documents.bucket_digests(),
             "ready": self._ready.is_set(),
         }
+        if "mb" in message:
+            differing = members.differing(message["mb"])
+            answer["m"] = [e.to_json() for e in differing]
+            answer["mb"] = members.bucket_digests()
         return answer
 
     # ---- internals -----------------------------------------------------
@@ -221,13 +254,23 @@
         except errors.DispatchError:
             return False
         self._take(answer)
-        if self._differs(answer):
+        members_due = self._members_due(answer["md"])
+        documents_differ = answer["cd"] != self.configuration.table.digest()
+        if members_due or documents_differ:
             try:
-                await self._repair(address)
+                await self._repair(address, members_due)
             except errors.DispatchError:
                 pass
         return True
 
+    def _members_due(self, their_digest: str) -> bool:
+        """Whether members are to be repaired with a peer now."""
+        if their_digest == self.membership.table.digest():
+            self._repair_pace.equal()
+            return False
+        now_s = time.monotonic()
+        return self._repair_budget.open(now_s) and self._repair_pace.due(now_s)
+
     async def _reached_by_others(self, member: membership_lib.Member) -> bool:
         helpers = self.membership.helpers(member.node_id, _HELPERS)
         asked = [
@@ -243,10 +286,15 @@
         return any(isinstance(a, dict) and a.get("ok") for a in answers)
 
     async def _push_round(self) -> None:
-        message = self._message()
+        now_s = time.monotonic()
+        peers = self.membership.peers(self._settings.fanout)
+        riders = _PUSHED_AT_ONCE if self._push_budget.open(now_s) else 0
+        message = self._message(riders, len(peers))
         if not message["m"] and not message["c"]:
             return
-        peers = self.membership.peers(self._settings.fanout)
+        if message["m"]:
+            size_bytes = len(orjson.dumps(message)) * len(peers)
+            self._push_budget.spend(size_bytes, now_s)
         await asyncio.gather(
             *(self._push_to(peer.address, message) for peer in peers)
         )
@@ -258,42 +306,43 @@
             # The digests repair what a push missed.
             pass
 
-    async def _repair(self, address: str) -> int:
+    async def _repair(self, address: str, members: bool) -> int:
+        """Exchanges differing documents, and members if wanted."""
         self.repairs += 1
-        members = self.membership.table
+        before_bytes = self.sent_bytes + self.received_bytes
+        table = self.membership.table
         documents = self.configuration.table
-        question = {
-            "mb": members.bucket_digests(),
-            "cb": documents.bucket_digests(),
-        }
+        question = {"cb": documents.bucket_digests()}
+        if members:
+            question["mb"] = table.bucket_digests()
         answer = await self._ask(address, SYNC, question, _SYNC_TIMEOUT_S)
         self._take(answer)
-        lacking = {
-            "m": [e.to_json() for e in members.differing(answer["mb"])],
+        lacking: dict[str, Any] = {
+            "m": [],
             "c": [e.to_json() for e in documents.differing(answer["cb"])],
         }
+        if members:
+            differing = table.differing(answer["mb"])
+            lacking["m"] = [e.to_json() for e in differing]
         if lacking["m"] or lacking["c"]:
             await self._ask(address, PUSH, lacking, _SYNC_TIMEOUT_S)
+        if members:
+            spent_bytes = self.sent_bytes + self.received_bytes - before_bytes
+            self._repair_budget.spend(spent_bytes, time.monotonic())
         return 1 if answer["ready"] else 0
 
-    def _message(self) -> dict[str, Any]:
+    def _message(self, riders: int = _RIDERS, peers: int = 1) -> dict[str, Any]:
         """Returns digests and recent changes."""
         members = self.membership.table
         documents = self.configuration.table
         return {
             "md": members.digest(),
             "cd": documents.digest(),
-            "m": _entries(members, self._member_rumors.take(_RIDERS)),
-            "c": _entries(documents, self._policy_rumors.take(_RIDERS)),
+            "m": _entries(members, self._member_rumors.take(riders, peers)),
+            "c": _entries(documents, self._policy_rumors.take(_RIDERS, peers)),
             "t": self._recorder.clock.tick(time.time()),
         }
 
-    def _differs(self, message: dict[str, Any]) -> bool:
-        return (
-            message["md"] != self.membership.table.digest()
-            or message["cd"] != self.configuration.table.digest()
-        )
-
     def _take(self, message: dict[str, Any]) -> None:
         self._recorder.clock.observe(message.get("t", 0), time.time())
         for data in message["c"]:
@@ -306,6 +355,7 @@
 
     def _note_member(self, change: membership_lib.Change) -> None:
         member = change.member
+        self._repair_pace.changed(time.monotonic())
         self._member_rumors.add(member.node_id)
         self._news.set()
         self._on_members()
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/joining.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/joining.py
@@ -27,6 +27,8 @@
 _LOG = logging.getLogger(__name__)
 
 _START_RETRY_S = 0.5
+# One seed may be as new, or as cut off, as this node; three agree.
+_ENOUGH = 3
 _FIRST_PAUSE_S = 1.0
 _MOST_PAUSE_S = 20.0
 
@@ -73,9 +75,9 @@
         while True:
             await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
             pause_s = min(_MOST_PAUSE_S, pause_s * 2)
-            missing = await self._missing()
+            missing = await self.missing()
             if missing:
-                await self._exchange.join(missing)
+                await self._exchange.join(missing, len(missing))
 
     async def _become_ready(self) -> None:
         """Learns members and configuration, then says ready.
@@ -88,7 +90,8 @@
             known = await self._policies.read()
             addresses = [*self._addresses, *await self._seeds.read()]
             unique = list(dict.fromkeys(addresses))
-            known = await self._exchange.join(unique) > 0 or known
+            asked = await self._exchange.join(unique, _ENOUGH)
+            known = asked > 0 or known
             if known or not self._needs_configuration:
                 self._ready.set()
                 self._recorder.record(time.time(), "node.ready")
@@ -96,7 +99,7 @@
                 return
             await asyncio.sleep(_START_RETRY_S)
 
-    async def _missing(self) -> list[str]:
+    async def missing(self) -> list[str]:
         """Returns seeds that are no usable members."""
         addresses = list(self._addresses)
         if self._policies.watching():
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -68,6 +68,8 @@
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
             "guard.load": round(self._guard.load(), 3),
+            "guard.slots": self._guard.slots,
+            "guard.slots_claimed": self._guard.slots_claimed,
             "ledger.entries": len(self._guard.ledger),
             "ledger.used_bytes": self._guard.ledger.used_bytes,
             "members.known": len(self._exchange.membership.members()),
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -94,6 +94,11 @@
             return 0
         return self._gate.slots
 
+    @property
+    def slots_claimed(self) -> int:
+        """Slots that the backend server announces; 0 without one."""
+        return self.announcement.slots if self.announcement else 0
+
     @property
     def draining(self) -> bool:
         """Whether it is leaving."""
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -49,6 +49,7 @@
     fanout: int = pydantic.Field(default=3, ge=1, le=16)
     suspicion_periods: float = pydantic.Field(default=3.0, ge=1, le=100)
     remember_s: float = pydantic.Field(default=86_400.0, ge=10)
+    members_bytes_per_s: float = pydantic.Field(default=6_000.0, ge=500)
 
 
 class StatsdSettings(_Model):
--- a/packages/burdockfront/src/burdockfront/tables.py
+++ b/packages/burdockfront/src/burdockfront/tables.py
@@ -133,9 +133,9 @@
 class Rumors:
     """Keys that changed lately and are still to be passed on.
 
-    Each change is sent `sends` times to peers drawn at random. With a fan-out
-    of f per round, about 1 - exp(-f) of the nodes are reached by pushes; the
-    digests find the rest.
+    Each change is told to `sends` peers drawn at random. If every node tells
+    it to s peers, about 1 - exp(-s) of the nodes are reached; the digests
+    find the rest. Telling more is what costs most in a burst of news.
     """
 
     def __init__(self, sends: int):
@@ -146,11 +146,16 @@
         """Starts to pass a change on."""
         self._left[key] = self._sends
 
-    def take(self, most: int) -> list[str]:
-        """Returns keys for one message, those sent least first."""
+    def take(self, most: int, peers: int = 1) -> list[str]:
+        """Returns keys for one message, those told least first.
+
+        Args:
+            most: Largest number of keys.
+            peers: How many peers get the message.
+        """
         keys = sorted(self._left, key=lambda key: -self._left[key])[:most]
         for key in keys:
-            self._left[key] -= 1
+            self._left[key] -= peers
             if self._left[key] <= 0:
                 del self._left[key]
         return keys
