A task that fails begins again; an answer that isn't understood is none

Cause, found while splitting the exchange: the tasks that join and probe caught only the errors of the way to a peer. A peer of another release whose answer could not be read raised past them; the task ended, one line in the log, and the node lived on without it: never ready, or ready and deaf to every failure. A message of that kind to us got "500 Internal Server Error". Ruled out: validation at the border alone. It raises, too, and the next error that nobody thought of would end some task again. Change: an answer that can't be read counts as none, with the remedy named; a message that can't be read is a 400 with the remedy; every task of the daemon runs under a supervisor (internal/supervision.py) that notes 'task.failed' on the time line and begins it again after a second. Also: the way to peers is a module of its own (controllers/peer_link.py).

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -11,10 +11,12 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
 from collections.abc import Callable
+from collections.abc import Iterator
 from typing import Any
 
 import orjson
@@ -25,8 +27,8 @@
 from burdockfront import membership as membership_lib
 from burdockfront import tables
 from burdockfront import timeline
-from burdockfront_client import peers as peers_lib
 from burdockfront_node import settings as settings_lib
+from burdockfront_node.controllers import peer_link
 
 _LOG = logging.getLogger(__name__)
 
@@ -48,7 +50,6 @@
 _PROBE_SHARE = 0.4
 _MIN_PROBE_S = 0.25
 _SYNC_TIMEOUT_S = 3.0
-_LIMIT_BYTES = 4_000_000
 # Pushes and probes bring news of a change within about a second.
 _QUIET_S = 1.0
 _LONGEST_UNEQUAL_S = 30.0
@@ -85,12 +86,11 @@
         self.membership = membership
         self.configuration = configuration
         self._settings = settings
-        self._headers = headers
         self._recorder = recorder
         self._ready = ready
         self._on_members = on_members
         self._rng = rng
-        self._peers = peers_lib.Peers(source_ip)
+        self._link = peer_link.PeerLink(headers, source_ip)
         self._member_rumors = tables.Rumors(settings.fanout + _ON_PROBES)
         # Few, and in force within seconds: told three times as often.
         self._policy_rumors = tables.Rumors(settings.fanout * settings.fanout)
@@ -101,11 +101,13 @@
         self._repair_pace = exchange_pace.RepairPace(
             _QUIET_S, _LONGEST_UNEQUAL_S, time.monotonic()
         )
-        self.sent_bytes = 0
-        self.received_bytes = 0
-        self.messages = 0
         self.repairs = 0
 
+    @property
+    def link(self) -> peer_link.PeerLink:
+        """The way to peers, with what it has cost so far."""
+        return self._link
+
     # ---- local changes -------------------------------------------------
 
     def update_me(self, **changes: Any) -> None:
@@ -186,7 +188,7 @@
         """Sends what is still to be told, and closes connections."""
         if self._member_rumors or self._policy_rumors:
             await self._push_round()
-        await self._peers.close()
+        await self._link.close()
 
     # ---- requests of peers ---------------------------------------------
 
@@ -198,7 +200,7 @@
     async def on_probe_for(self, message: dict[str, Any]) -> dict[str, Any]:
         """Probes a member on behalf of a peer who can't reach it."""
         try:
-            await self._ask(
+            await self._link.ask(
                 message["address"], PROBE, self._message(), self._probe_s()
             )
         except errors.DispatchError:
@@ -248,14 +250,16 @@
 
     async def _probe_once(self, address: str) -> bool:
         try:
-            answer = await self._ask(
+            answer = await self._link.ask(
                 address, PROBE, self._message(), self._probe_s()
             )
+            with _understood(address):
+                self._take(answer)
+                members_due = self._members_due(answer["md"])
+                ours = self.configuration.table.digest()
+                documents_differ = answer["cd"] != ours
         except errors.DispatchError:
             return False
-        self._take(answer)
-        members_due = self._members_due(answer["md"])
-        documents_differ = answer["cd"] != self.configuration.table.digest()
         if members_due or documents_differ:
             try:
                 await self._repair(address, members_due)
@@ -274,7 +278,7 @@
     async def _reached_by_others(self, member: membership_lib.Member) -> bool:
         helpers = self.membership.helpers(member.node_id, _HELPERS)
         asked = [
-            self._ask(
+            self._link.ask(
                 helper.address,
                 PROBE_FOR,
                 {"address": member.address},
@@ -301,7 +305,7 @@
 
     async def _push_to(self, address: str, message: dict[str, Any]) -> None:
         try:
-            await self._ask(address, PUSH, message, self._probe_s())
+            await self._link.ask(address, PUSH, message, self._probe_s())
         except errors.DispatchError:
             # The digests repair what a push missed.
             pass
@@ -309,27 +313,30 @@
     async def _repair(self, address: str, members: bool) -> int:
         """Exchanges differing documents, and members if wanted."""
         self.repairs += 1
-        before_bytes = self.sent_bytes + self.received_bytes
+        before_bytes = self._link.moved_bytes
         table = self.membership.table
         documents = self.configuration.table
         question = {"cb": documents.bucket_digests()}
         if members:
             question["mb"] = table.bucket_digests()
-        answer = await self._ask(address, SYNC, question, _SYNC_TIMEOUT_S)
-        self._take(answer)
-        lacking: dict[str, Any] = {
-            "m": [],
-            "c": [e.to_json() for e in documents.differing(answer["cb"])],
-        }
-        if members:
-            differing = table.differing(answer["mb"])
-            lacking["m"] = [e.to_json() for e in differing]
+        answer = await self._link.ask(address, SYNC, question, _SYNC_TIMEOUT_S)
+        lacking: dict[str, Any] = {"m": [], "c": []}
+        with _understood(address):
+            self._take(answer)
+            ready = bool(answer["ready"])
+            differing = documents.differing(answer["cb"])
+            lacking["c"] = [e.to_json() for e in differing]
+            if members:
+                differing = table.differing(answer["mb"])
+                lacking["m"] = [e.to_json() for e in differing]
         if lacking["m"] or lacking["c"]:
-            await self._ask(address, PUSH, lacking, _SYNC_TIMEOUT_S)
+            await self._link.ask(address, PUSH, lacking, _SYNC_TIMEOUT_S)
         if members:
-            spent_bytes = self.sent_bytes + self.received_bytes - before_bytes
+            # Other messages may have passed meanwhile; to count them too
+            # only makes the next repair come later.
+            spent_bytes = self._link.moved_bytes - before_bytes
             self._repair_budget.spend(spent_bytes, time.monotonic())
-        return 1 if answer["ready"] else 0
+        return 1 if ready else 0
 
     def _message(self, riders: int = _RIDERS, peers: int = 1) -> dict[str, Any]:
         """Returns digests and recent changes."""
@@ -372,27 +379,27 @@
     def _probe_s(self) -> float:
         return max(_MIN_PROBE_S, self._settings.period_s * _PROBE_SHARE)
 
-    async def _ask(
-        self,
-        address: str,
-        path: str,
-        message: dict[str, Any],
-        timeout_s: float,
-    ) -> dict[str, Any]:
-        body = orjson.dumps(message)
-        self.messages += 1
-        self.sent_bytes += len(body)
-        reply = await self._peers.request(
-            address, "POST", path, self._headers, body, timeout_s, _LIMIT_BYTES
-        )
-        self.received_bytes += len(reply.body)
-        if reply.status != 200:
-            raise errors.DispatchError(
-                f"{address} answered {reply.status} to {path}; check that "
-                f"both nodes share the same peer_keys."
-            )
-        data: dict[str, Any] = orjson.loads(reply.body)
-        return data
+
+@contextlib.contextmanager
+def _understood(address: str) -> Iterator[None]:
+    """Treats an answer that this release can't read as no answer.
+
+    Raises:
+        DispatchError: Instead of whatever reading it raised.
+    """
+    try:
+        yield
+    except (
+        errors.InvalidInputError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise errors.DispatchError(
+            f"{address} answered what this release does not understand "
+            f"({error!r}); all nodes must run compatible releases."
+        ) from None
 
 
 def _entries(table: tables.Table, keys: list[str]) -> list[list[Any]]:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/joining.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/joining.py
@@ -70,7 +70,8 @@
 
     async def join_forever(self) -> None:
         """Says ready, and from then on looks for missing seeds."""
-        await self._become_ready()
+        if not self._ready.is_set():
+            await self._become_ready()
         pause_s = _FIRST_PAUSE_S
         while True:
             await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -50,9 +50,9 @@
         for name, value in self._guard.counters().items():
             found[f"guard.{name}"] = value
         exchange = self._exchange
-        found["exchange.messages"] = exchange.messages
-        found["exchange.sent_bytes"] = exchange.sent_bytes
-        found["exchange.received_bytes"] = exchange.received_bytes
+        found["exchange.messages"] = exchange.link.messages
+        found["exchange.sent_bytes"] = exchange.link.sent_bytes
+        found["exchange.received_bytes"] = exchange.link.received_bytes
         found["exchange.repairs"] = exchange.repairs
         found["members.refuted"] = exchange.membership.refuted
         found["peers.retired"] = self._dispatcher.sender.peers.retired
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -35,6 +35,7 @@
 from burdockfront_node.filters import base
 from burdockfront_node.filters import chain
 from burdockfront_node.internal import clocks
+from burdockfront_node.internal import supervision
 
 _LOG = logging.getLogger(__name__)
 _HOUSEKEEPING_S = 5.0
@@ -284,19 +285,18 @@
 
     def _start_tasks(self) -> None:
         for work in (
-            self._joining.join_forever(),
-            self._guard.tick_forever(),
-            self._exchange.probe_forever(),
-            self._exchange.push_forever(),
-            self._backends.watch_forever(),
-            self._policies.watch_forever(),
-            self._seeds.write_forever(),
-            self._metrics.send_forever(),
-            self._keep_house(),
+            self._joining.join_forever,
+            self._guard.tick_forever,
+            self._exchange.probe_forever,
+            self._exchange.push_forever,
+            self._backends.watch_forever,
+            self._policies.watch_forever,
+            self._seeds.write_forever,
+            self._metrics.send_forever,
+            self._keep_house,
         ):
-            task = asyncio.create_task(work)
-            task.add_done_callback(_log_failure)
-            self._tasks.append(task)
+            running = supervision.keep_running(work, self._recorder)
+            self._tasks.append(asyncio.create_task(running))
 
     async def _keep_house(self) -> None:
         while True:
@@ -359,8 +359,3 @@
         return handler(message)
 
     return asynchronous
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _LOG.error("a task ended", exc_info=task.exception())
--- a/packages/burdockfront-node/src/burdockfront_node/internal_app.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_app.py
@@ -141,7 +141,7 @@
             return _refusal(503, type(error).__name__, str(error))
         except errors.BurdockfrontError as error:
             return _refusal(400, type(error).__name__, str(error))
-        except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+        except (AttributeError, LookupError, TypeError, ValueError) as error:
             return _refusal(
                 400,
                 "InvalidInputError",
--- /dev/null
+++ b/tests/unit/test_incompatible_peers.py
@@ -0,0 +1,114 @@
+"""A peer that answers what this release does not understand."""
+
+import asyncio
+import random
+
+import pytest
+from starlette import requests
+
+from burdockfront import configuration
+from burdockfront import membership
+from burdockfront import timeline
+from burdockfront_node import internal_app
+from burdockfront_node import settings
+from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.internal import supervision
+from tests import builders
+
+
+class _Link:
+    """Stands in for the way to peers: each answer is the same."""
+
+    moved_bytes = 0
+
+    def __init__(self, answer: object):
+        self._answer = answer
+
+    async def ask(self, *_: object) -> object:
+        return self._answer
+
+
+def _an_exchange(answer: object) -> exchange_lib.Exchange:
+    rng = random.Random(1)
+    exchange = exchange_lib.Exchange(
+        membership.Membership(
+            builders.a_member("n1"), membership.Timing(), rng
+        ),
+        configuration.Configuration(),
+        settings.GossipSettings(),
+        {},
+        timeline.Recorder("n1", "dc1", 10),
+        asyncio.Event(),
+        lambda: None,
+        rng,
+    )
+    exchange._link = _Link(answer)  # The only way to peers.
+    return exchange
+
+
+_ANSWERS = [
+    {},
+    [],
+    {"m": 1, "c": 2, "cb": 3, "mb": 4, "ready": True, "md": "", "cd": ""},
+    {"m": [["n2", ["x"], {}]], "c": [], "md": "", "cd": ""},
+    {"m": [["n2", [1, 2, 3], {}]], "c": [], "md": "", "cd": ""},
+]
+
+
+@pytest.mark.parametrize("answer", _ANSWERS)
+def test_joining_goes_on_past_a_peer_that_is_not_understood(answer):
+    # A seed runs another release. Its answer ended the task that joins, and
+    # the node was never ready, with one line in its log.
+    async def join() -> int:
+        return await _an_exchange(answer).join(["10.0.0.1:1"], 1)
+
+    assert asyncio.run(join()) == 0
+
+
+@pytest.mark.parametrize("answer", _ANSWERS)
+def test_probing_goes_on_past_a_peer_that_is_not_understood(answer):
+    # As above, for the task that probes: the node served on, but found no
+    # failure any more and heard of nothing that pushes missed.
+    async def probe() -> bool:
+        exchange = _an_exchange(answer)
+        return await exchange._probe_once("10.0.0.1:1")
+
+    assert not asyncio.run(probe())
+
+
+@pytest.mark.parametrize("body", [b"[]", b"7", b"{", b'{"t": 1}', b'"x"'])
+def test_message_that_is_not_understood_is_refused_with_the_remedy(body):
+    # The other direction: such a peer asks us. It got "500 Internal Server
+    # Error" for some of these, which names neither side's fault.
+    exchange = _an_exchange({})
+
+    async def on_push(message: dict[str, object]) -> dict[str, object]:
+        return exchange.on_push(message)
+
+    async def receive() -> dict[str, object]:
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    keys = builders.a_key_ring()
+    route = internal_app.json_route("/p", lambda: keys, print, on_push)
+    authorization = f"Bearer {builders.KEY}".encode()
+    scope = {"type": "http", "headers": [(b"authorization", authorization)]}
+    response = asyncio.run(route.endpoint(requests.Request(scope, receive)))
+    assert response.status_code == 400
+    assert b"compatible releases" in response.body
+
+
+def test_task_that_fails_begins_again():
+    # A controller meets what nobody thought of. Its task ended and the node
+    # went on without it: ready, serving, and deaf.
+    recorder = timeline.Recorder("n1", "dc1", 10)
+    runs = []
+
+    async def work() -> None:
+        runs.append(1)
+        if len(runs) < 3:
+            raise RuntimeError("nobody thought of this")
+
+    asyncio.run(supervision.keep_running(work, recorder, pause_s=0.0))
+    assert len(runs) == 3
+    failed = recorder.select(timeline.Filter(kind="task.failed"), 10)
+    assert len(failed) == 2
