A stray value in the platform's service costs its own key only

Cause, found by reading on from the failed tasks: a value below our prefixes that is no object (somebody else's write, a wrong tool) raised in the watcher before it noted how far it had read. Both watchers of every data centre met it again at each read: no change reached any node any more, and a node that started was never ready. A broken list of seeds hid all other seeds. Change: such a value is read as an empty document, which is rejected and shown by 'verify' like any other that can't be applied; seeds that make no sense are left out. An operator's next change replaces the value.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/platform.py
@@ -95,7 +95,7 @@
         """
         target = f"/kv?prefix={prefix}"
         data = await self._ask("GET", target, None, 0.0, patient)
-        return _snapshot_of(data)
+        return snapshot_from_json(data)
 
     async def watch(self, prefix: str, after: int) -> Snapshot:
         """Waits for items newer than a revision; may return none.
@@ -108,7 +108,7 @@
         """
         wait_s = self._settings.watch_s
         target = f"/watch?prefix={prefix}&after={after}&wait_s={wait_s}"
-        return _snapshot_of(await self._ask("GET", target, None, wait_s))
+        return snapshot_from_json(await self._ask("GET", target, None, wait_s))
 
     async def write(
         self, key: str, value: dict[str, Any], expected: int
@@ -194,9 +194,19 @@
             await asyncio.sleep(_POLL_S)
 
 
-def _snapshot_of(data: dict[str, Any]) -> Snapshot:
+def snapshot_from_json(data: dict[str, Any]) -> Snapshot:
+    """Reads an answer of the service.
+
+    A value that is no object was not written by us. It is read as an empty
+    one, which is rejected where it is used, so that a stray value costs its
+    own key and not all others.
+    """
     items = tuple(
-        Item(item["key"], item["value"], item["revision"])
+        Item(item["key"], _object(item["value"]), item["revision"])
         for item in data["items"]
     )
     return Snapshot(data["revision"], items)
+
+
+def _object(value: Any) -> dict[str, Any]:
+    return value if isinstance(value, dict) else {}
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/seeds.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/seeds.py
@@ -48,7 +48,7 @@
         except errors.PlatformUnavailableError as error:
             _LOG.warning("seeds not read", extra={"why": str(error)})
             return []
-        return [a for i in snapshot.items for a in i.value["addresses"]]
+        return [a for item in snapshot.items for a in _addresses_of(item)]
 
     async def write_forever(self) -> None:
         """Keeps this data centre's seeds up to date."""
@@ -73,7 +73,7 @@
         snapshot = await platform.read(key)
         found = next((i for i in snapshot.items if i.key == key), None)
         addresses = self._addresses()
-        if found is not None and found.value["addresses"] == addresses:
+        if found is not None and _addresses_of(found) == addresses:
             return
         token = self._holder.token(time.monotonic())
         value = {"addresses": addresses, "fencing_token": token}
@@ -87,3 +87,11 @@
             if m.data_center == membership.me.data_center
         ]
         return sorted(near)[:_SEEDS]
+
+
+def _addresses_of(item: platform_lib.Item) -> list[str]:
+    """Returns the addresses of a data centre, or none that make sense."""
+    found = item.value.get("addresses")
+    if not isinstance(found, list):
+        return []
+    return [address for address in found if isinstance(address, str)]
