--- a/tests/unit/test_slot_claims.py
+++ b/tests/unit/test_slot_claims.py
@@ -72,6 +72,17 @@
     assert claims.believed == 4
 
 
+def test_server_that_sheds_during_a_trial_ends_it():
+    # As above, from the guard's limit, which is told of the shed.
+    limit = limits.ConcurrencyLimit(4, 0.0, 0.0)
+    limit.announce(40, False, 0.0)
+    for number in range(104):
+        limit.completed(_SERVICE_S, 4, number * 0.01)
+    assert limit.slots == 5
+    limit.shed_by_backend(5, 2.0)
+    assert limit.slots == 4
+
+
 def test_limit_follows_what_is_believed_not_what_is_claimed():
     # As above, seen from the guard's limit. Before, the limit rose to 40 with
     # the announcement.
