A node that is not ready takes no work, and is ready sooner

A new node asked the platform service first and waited for its timeouts before it asked its peers; meanwhile its callers were refused. And it already took calls for its backend server, found by peers at its old address, while it refused that server's deeper calls: work done, then a 502. Change: peers are asked first, members that found us among them; the guard takes no work until the node is ready; once ready, the documents are read anyhow.

--- a/packages/burdockfront-bench/src/burdockfront_bench/faults.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/faults.py
@@ -1,5 +1,6 @@
 """Faults that a scenario can bring about; variants by registry."""
 
+import asyncio
 import signal
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -191,5 +192,5 @@
 
 
 def _signal(process: object, number: signal.Signals) -> None:
-    if isinstance(process, cluster_lib.asyncio.subprocess.Process):
+    if isinstance(process, asyncio.subprocess.Process):
         process.send_signal(number)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/joining.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/joining.py
@@ -72,6 +72,8 @@
         """Says ready, and from then on looks for missing seeds."""
         if not self._ready.is_set():
             await self._become_ready()
+            # Peers may be behind a change that was accepted just now.
+            await self._policies.read()
         pause_s = _FIRST_PAUSE_S
         while True:
             await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
@@ -88,11 +90,11 @@
         nothing then: with its defaults, an accepted change would be undone.
         """
         while True:
-            known = await self._policies.read()
-            addresses = [*self._addresses, *await self._seeds.read()]
-            unique = list(dict.fromkeys(addresses))
-            asked = await self._exchange.join(unique, _ENOUGH)
-            known = asked > 0 or known
+            # Peers first: in an outage each question to the platform service
+            # costs its timeout, while callers are refused.
+            known = await self._exchange.join(self._near(), _ENOUGH) > 0
+            if not known:
+                known = await self._ask_platform()
             if known or not self._needs_configuration:
                 self._ready.set()
                 self._recorder.record(time.time(), "node.ready")
@@ -100,6 +102,18 @@
                 return
             await asyncio.sleep(_START_RETRY_S)
 
+    def _near(self) -> list[str]:
+        """Returns whom to ask first: seeds, and peers that found us."""
+        members = self._exchange.membership.usable()
+        addresses = [*self._addresses, *(m.address for m in members)]
+        return list(dict.fromkeys(addresses))
+
+    async def _ask_platform(self) -> bool:
+        """Reads documents and seeds; returns whether they are known now."""
+        known = await self._policies.read()
+        seeds = await self._seeds.read()
+        return await self._exchange.join(seeds, _ENOUGH) > 0 or known
+
     async def missing(self) -> list[str]:
         """Returns seeds that are no usable members."""
         addresses = list(self._addresses)
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -147,6 +147,7 @@
             policy_of,
             self._recorder,
             self._wall_s,
+            self._ready,
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = backends_lib.Backends(
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -54,6 +54,8 @@
         policy_of: Returns the policy in force of a service.
         recorder: Where events go.
         wall_s: A wall clock that never steps back.
+        ready: Whether this node knows the configuration; before, the deeper
+            calls of its backend server would be refused.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         policy_of: Callable[[str], policy_lib.Policy],
         recorder: timeline.Recorder,
         wall_s: Callable[[], float],
+        ready: asyncio.Event,
     ):
         self.node_id = node_id
         self.ledger = ledger
@@ -77,6 +80,7 @@
             peers_lib.Peers(), dispatcher.sender.keys, attempts
         )
         self._policy_of = policy_of
+        self._ready = ready
         self._recorder = recorder
         self._gate: gate_lib.Gate | None = None
         self._draining_since_s: float | None = None
@@ -107,7 +111,8 @@
     @property
     def takes_work(self) -> bool:
         """Whether routers should send anything here."""
-        return not self.draining and not self._stalls.stalled
+        leaving = self.draining or self._stalls.stalled
+        return self._ready.is_set() and not leaving
 
     def counters(self) -> dict[str, int]:
         """Returns what was done since the start."""
@@ -193,8 +198,10 @@
     def _unwilling(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Returns a refusal that does not depend on slots."""
         announced = self.announcement
-        if announced is None or self._gate is None:
+        known = announced is not None and self._gate is not None
+        if not known or not self._ready.is_set():
             return _not_run(outcomes.Reason.NO_BACKEND)
+        assert announced is not None
         if announced.service != attempt.call.service:
             return _not_run(outcomes.Reason.NO_SUCH_SERVICE)
         since_s = self._draining_since_s
