A node's own news goes first; repairs are a module of their own

Cause, found by reading the exchange after it was paced: the end of a node was told with whatever waited first in the queue. In the seconds after the loss of a data centre that is news of others, and with the budget spent nothing at all: a node stopped as planned just then would be found by failing probes, while callers still tried it. Change: a node's own changes (drain, service, slots) go before news of others; the last push carries its own entry alone, whatever the budget says.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -1,22 +1,19 @@
-"""Exchange of state with peers: probes, pushes and repair.
+"""Exchange of state with peers: probes and pushes.
 
 * Each period one member is probed. Probe and answer carry the digests of both
-  tables and recent changes. Unequal digests lead to a repair.
+  tables and recent changes. Unequal digests lead to a repair (`repairs`).
 * A change is pushed at once to a few peers, who push it on.
-* A repair exchanges the entries of differing buckets in both directions.
 
 The cost per node does not depend on the number of nodes; what grows with it
 is only the number of changes, and those of members are paced (see
-`burdockfront.exchange_pace`). Documents are repaired at once.
+`burdockfront.exchange_pace`).
 """
 
 import asyncio
-import contextlib
 import logging
 import random
 import time
 from collections.abc import Callable
-from collections.abc import Iterator
 from typing import Any
 
 import orjson
@@ -29,13 +26,14 @@
 from burdockfront import timeline
 from burdockfront_node import settings as settings_lib
 from burdockfront_node.controllers import peer_link
+from burdockfront_node.controllers import repairs as repairs_lib
 
 _LOG = logging.getLogger(__name__)
 
 PROBE = "/peer/probe"
 PROBE_FOR = "/peer/probe-for"
-PUSH = "/peer/push"
-SYNC = "/peer/sync"
+PUSH = repairs_lib.PUSH
+SYNC = repairs_lib.SYNC
 
 _HELPERS = 2
 _RIDERS = 6
@@ -49,10 +47,6 @@
 _MEMBERS_DELAY_S = 0.1
 _PROBE_SHARE = 0.4
 _MIN_PROBE_S = 0.25
-_SYNC_TIMEOUT_S = 3.0
-# Pushes and probes bring news of a change within about a second.
-_QUIET_S = 1.0
-_LONGEST_UNEQUAL_S = 30.0
 _BURST_BYTES = 16_384
 
 
@@ -63,12 +57,11 @@
         membership: Members as this node knows them.
         configuration: Documents that this node knows.
         settings: Pace and fan-out.
-        headers: Headers that authenticate this node to others.
+        link: The way to peers.
         recorder: Where events go.
         ready: Whether this node knows the configuration.
         on_members: Called when beliefs about members changed.
         rng: Source of randomness.
-        source_ip: Own IP number that connections come from, if it matters.
     """
 
     def __init__(
@@ -76,37 +69,33 @@
         membership: membership_lib.Membership,
         configuration: configuration_lib.Configuration,
         settings: settings_lib.GossipSettings,
-        headers: dict[str, str],
+        link: peer_link.PeerLink,
         recorder: timeline.Recorder,
         ready: asyncio.Event,
         on_members: Callable[[], None],
         rng: random.Random,
-        source_ip: str | None = None,
     ):
+        self.link = link
         self.membership = membership
         self.configuration = configuration
         self._settings = settings
         self._recorder = recorder
-        self._ready = ready
         self._on_members = on_members
         self._rng = rng
-        self._link = peer_link.PeerLink(headers, source_ip)
         self._member_rumors = tables.Rumors(settings.fanout + _ON_PROBES)
         # Few, and in force within seconds: told three times as often.
         self._policy_rumors = tables.Rumors(settings.fanout * settings.fanout)
         self._news = asyncio.Event()
         rate = settings.members_bytes_per_s / 2
         self._push_budget = exchange_pace.ByteBudget(rate, _BURST_BYTES)
-        self._repair_budget = exchange_pace.ByteBudget(rate, _BURST_BYTES)
-        self._repair_pace = exchange_pace.RepairPace(
-            _QUIET_S, _LONGEST_UNEQUAL_S, time.monotonic()
+        self.repairs = repairs_lib.Repairs(
+            self.link,
+            membership,
+            configuration,
+            ready,
+            self._take,
+            exchange_pace.ByteBudget(rate, _BURST_BYTES),
         )
-        self.repairs = 0
-
-    @property
-    def link(self) -> peer_link.PeerLink:
-        """The way to peers, with what it has cost so far."""
-        return self._link
 
     # ---- local changes -------------------------------------------------
 
@@ -177,7 +166,7 @@
             if address == self.membership.me.address:
                 continue
             try:
-                ready += await self._repair(address, members=True)
+                ready += await self.repairs.run(address, members=True)
             except errors.DispatchError as error:
                 _LOG.info("seed not reached", extra={"why": str(error)})
             if ready >= enough:
@@ -185,10 +174,16 @@
         return ready
 
     async def close(self) -> None:
-        """Sends what is still to be told, and closes connections."""
-        if self._member_rumors or self._policy_rumors:
-            await self._push_round()
-        await self._link.close()
+        """Tells some peers how this node left, and closes connections.
+
+        Its own entry alone, and whatever the budget says: while much other
+        news waits, the others would have to find out by failing probes.
+        """
+        peers = self.membership.peers(self._settings.fanout)
+        message = self._message(riders=0, peers=len(peers))
+        message["m"] = [self.membership.me.to_entry().to_json()]
+        await self._push(message, peers)
+        await self.link.close()
 
     # ---- requests of peers ---------------------------------------------
 
@@ -200,7 +195,7 @@
     async def on_probe_for(self, message: dict[str, Any]) -> dict[str, Any]:
         """Probes a member on behalf of a peer who can't reach it."""
         try:
-            await self._link.ask(
+            await self.link.ask(
                 message["address"], PROBE, self._message(), self._probe_s()
             )
         except errors.DispatchError:
@@ -212,22 +207,6 @@
         self._take(message)
         return {}
 
-    def on_sync(self, message: dict[str, Any]) -> dict[str, Any]:
-        """Answers with what the peer's buckets differ in."""
-        members = self.membership.table
-        documents = self.configuration.table
-        answer = {
-            "m": [],
-            "c": [e.to_json() for e in documents.differing(message["cb"])],
-            "cb": documents.bucket_digests(),
-            "ready": self._ready.is_set(),
-        }
-        if "mb" in message:
-            differing = members.differing(message["mb"])
-            answer["m"] = [e.to_json() for e in differing]
-            answer["mb"] = members.bucket_digests()
-        return answer
-
     # ---- internals -----------------------------------------------------
 
     def _advance(self) -> None:
@@ -250,35 +229,24 @@
 
     async def _probe_once(self, address: str) -> bool:
         try:
-            answer = await self._link.ask(
+            answer = await self.link.ask(
                 address, PROBE, self._message(), self._probe_s()
             )
-            with _understood(address):
+            with repairs_lib.understood(address):
                 self._take(answer)
-                members_due = self._members_due(answer["md"])
-                ours = self.configuration.table.digest()
-                documents_differ = answer["cd"] != ours
         except errors.DispatchError:
             return False
-        if members_due or documents_differ:
-            try:
-                await self._repair(address, members_due)
-            except errors.DispatchError:
-                pass
+        try:
+            await self.repairs.after_probe(address, answer)
+        except errors.DispatchError:
+            # It is alive; a later probe repairs.
+            pass
         return True
 
-    def _members_due(self, their_digest: str) -> bool:
-        """Whether members are to be repaired with a peer now."""
-        if their_digest == self.membership.table.digest():
-            self._repair_pace.equal()
-            return False
-        now_s = time.monotonic()
-        return self._repair_budget.open(now_s) and self._repair_pace.due(now_s)
-
     async def _reached_by_others(self, member: membership_lib.Member) -> bool:
         helpers = self.membership.helpers(member.node_id, _HELPERS)
         asked = [
-            self._link.ask(
+            self.link.ask(
                 helper.address,
                 PROBE_FOR,
                 {"address": member.address},
@@ -299,45 +267,22 @@
         if message["m"]:
             size_bytes = len(orjson.dumps(message)) * len(peers)
             self._push_budget.spend(size_bytes, now_s)
+        await self._push(message, peers)
+
+    async def _push(
+        self, message: dict[str, Any], peers: list[membership_lib.Member]
+    ) -> None:
         await asyncio.gather(
             *(self._push_to(peer.address, message) for peer in peers)
         )
 
     async def _push_to(self, address: str, message: dict[str, Any]) -> None:
         try:
-            await self._link.ask(address, PUSH, message, self._probe_s())
+            await self.link.ask(address, PUSH, message, self._probe_s())
         except errors.DispatchError:
             # The digests repair what a push missed.
             pass
 
-    async def _repair(self, address: str, members: bool) -> int:
-        """Exchanges differing documents, and members if wanted."""
-        self.repairs += 1
-        before_bytes = self._link.moved_bytes
-        table = self.membership.table
-        documents = self.configuration.table
-        question = {"cb": documents.bucket_digests()}
-        if members:
-            question["mb"] = table.bucket_digests()
-        answer = await self._link.ask(address, SYNC, question, _SYNC_TIMEOUT_S)
-        lacking: dict[str, Any] = {"m": [], "c": []}
-        with _understood(address):
-            self._take(answer)
-            ready = bool(answer["ready"])
-            differing = documents.differing(answer["cb"])
-            lacking["c"] = [e.to_json() for e in differing]
-            if members:
-                differing = table.differing(answer["mb"])
-                lacking["m"] = [e.to_json() for e in differing]
-        if lacking["m"] or lacking["c"]:
-            await self._link.ask(address, PUSH, lacking, _SYNC_TIMEOUT_S)
-        if members:
-            # Other messages may have passed meanwhile; to count them too
-            # only makes the next repair come later.
-            spent_bytes = self._link.moved_bytes - before_bytes
-            self._repair_budget.spend(spent_bytes, time.monotonic())
-        return 1 if ready else 0
-
     def _message(self, riders: int = _RIDERS, peers: int = 1) -> dict[str, Any]:
         """Returns digests and recent changes."""
         members = self.membership.table
@@ -362,8 +307,9 @@
 
     def _note_member(self, change: membership_lib.Change) -> None:
         member = change.member
-        self._repair_pace.changed(time.monotonic())
-        self._member_rumors.add(member.node_id)
+        self.repairs.changed()
+        mine = member.node_id == self.membership.me.node_id
+        self._member_rumors.add(member.node_id, first=mine)
         self._news.set()
         self._on_members()
         self._recorder.record(
@@ -380,28 +326,6 @@
         return max(_MIN_PROBE_S, self._settings.period_s * _PROBE_SHARE)
 
 
-@contextlib.contextmanager
-def _understood(address: str) -> Iterator[None]:
-    """Treats an answer that this release can't read as no answer.
-
-    Raises:
-        DispatchError: Instead of whatever reading it raised.
-    """
-    try:
-        yield
-    except (
-        errors.InvalidInputError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as error:
-        raise errors.DispatchError(
-            f"{address} answered what this release does not understand "
-            f"({error!r}); all nodes must run compatible releases."
-        ) from None
-
-
 def _entries(table: tables.Table, keys: list[str]) -> list[list[Any]]:
     found = [table.get(key) for key in keys]
     return [entry.to_json() for entry in found if entry is not None]
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -53,7 +53,7 @@
         found["exchange.messages"] = exchange.link.messages
         found["exchange.sent_bytes"] = exchange.link.sent_bytes
         found["exchange.received_bytes"] = exchange.link.received_bytes
-        found["exchange.repairs"] = exchange.repairs
+        found["exchange.repairs"] = exchange.repairs.count
         found["members.refuted"] = exchange.membership.refuted
         found["peers.retired"] = self._dispatcher.sender.peers.retired
         if self._platform is not None:
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -29,6 +29,7 @@
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import joining as joining_lib
 from burdockfront_node.controllers import metrics as metrics_lib
+from burdockfront_node.controllers import peer_link
 from burdockfront_node.controllers import platform as platform_lib
 from burdockfront_node.controllers import policies as policies_lib
 from burdockfront_node.controllers import seeds as seeds_lib
@@ -95,12 +96,11 @@
             membership_lib.Membership(me, timing, self._rng),
             configuration,
             settings.gossip,
-            self._headers,
+            peer_link.PeerLink(self._headers, source_ip),
             self._recorder,
             self._ready,
             self._update_router,
             self._rng,
-            source_ip,
         )
         self._platform = (
             platform_lib.PlatformClient(settings.platform, self._rng)
@@ -200,7 +200,7 @@
             exchange_lib.PROBE: _plain(self._exchange.on_probe),
             exchange_lib.PROBE_FOR: self._exchange.on_probe_for,
             exchange_lib.PUSH: _plain(self._exchange.on_push),
-            exchange_lib.SYNC: _plain(self._exchange.on_sync),
+            exchange_lib.SYNC: _plain(self._exchange.repairs.on_sync),
             ticket_status.PATH: _plain(self._on_ticket),
             "/backend/announce": _plain(self._on_announce),
             "/backend/targets": _plain(self._on_targets),
--- a/packages/burdockfront/src/burdockfront/tables.py
+++ b/packages/burdockfront/src/burdockfront/tables.py
@@ -142,9 +142,14 @@
         self._sends = sends
         self._left: dict[str, int] = {}
 
-    def add(self, key: str) -> None:
-        """Starts to pass a change on."""
-        self._left[key] = self._sends
+    def add(self, key: str, first: bool = False) -> None:
+        """Starts to pass a change on.
+
+        Args:
+            key: What changed.
+            first: Before all others, for what only this node knows yet.
+        """
+        self._left[key] = self._sends + (1 if first else 0)
 
     def take(self, most: int, peers: int = 1) -> list[str]:
         """Returns keys for one message, those told least first.
--- a/tests/unit/test_incompatible_peers.py
+++ b/tests/unit/test_incompatible_peers.py
@@ -12,6 +12,7 @@
 from burdockfront_node import internal_app
 from burdockfront_node import settings
 from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import peer_link
 from burdockfront_node.internal import supervision
 from tests import builders
 
@@ -29,21 +30,20 @@
 
 
 def _an_exchange(answer: object) -> exchange_lib.Exchange:
+    link: peer_link.PeerLink = _Link(answer)
     rng = random.Random(1)
-    exchange = exchange_lib.Exchange(
+    return exchange_lib.Exchange(
         membership.Membership(
             builders.a_member("n1"), membership.Timing(), rng
         ),
         configuration.Configuration(),
         settings.GossipSettings(),
-        {},
+        link,
         timeline.Recorder("n1", "dc1", 10),
         asyncio.Event(),
         lambda: None,
         rng,
     )
-    exchange._link = _Link(answer)  # The only way to peers.
-    return exchange
 
 
 _ANSWERS = [
--- /dev/null
+++ b/tests/unit/test_leaving_news.py
@@ -0,0 +1,98 @@
+"""A node's own news goes first, also when much other news waits."""
+
+import asyncio
+import random
+
+from burdockfront import configuration
+from burdockfront import membership
+from burdockfront import timeline
+from burdockfront_node import settings
+from burdockfront_node.controllers import exchange as exchange_lib
+from tests import builders
+
+
+class _Link:
+    """Keeps what is sent."""
+
+    moved_bytes = 0
+
+    def __init__(self) -> None:
+        self.sent: list[dict[str, object]] = []
+
+    async def ask(
+        self,
+        address: str,
+        path: str,
+        message: dict[str, object],
+        timeout_s: float,
+    ) -> dict[str, object]:
+        self.sent.append(message)
+        return {}
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+def _an_exchange(link: _Link) -> exchange_lib.Exchange:
+    rng = random.Random(1)
+    return exchange_lib.Exchange(
+        membership.Membership(
+            builders.a_member("n1"), membership.Timing(), rng
+        ),
+        configuration.Configuration(),
+        settings.GossipSettings(members_bytes_per_s=500),
+        link,
+        timeline.Recorder("n1", "dc1", 10),
+        asyncio.Event(),
+        lambda: None,
+        rng,
+    )
+
+
+def _news_of(count: int) -> dict[str, object]:
+    members = [builders.a_member(f"m{index}") for index in range(count)]
+    return {"m": [m.to_entry().to_json() for m in members], "c": []}
+
+
+async def _push_for_a_while(exchange: exchange_lib.Exchange) -> None:
+    pushing = asyncio.create_task(exchange.push_forever())
+    for _ in range(8):
+        exchange.on_push(_news_of(1))
+        await asyncio.sleep(0.12)
+    pushing.cancel()
+
+
+def _names(message: dict[str, object]) -> list[str]:
+    return [entry[0] for entry in message["m"]]
+
+
+def test_leaving_is_told_although_the_budget_is_spent():
+    # A data centre was lost and its news fills the queue and the budget. A
+    # node that is stopped as planned just then must not be left to be found
+    # by failing probes, while callers still try it.
+    async def scenario() -> list[dict[str, object]]:
+        link = _Link()
+        exchange = _an_exchange(link)
+        exchange.on_push(_news_of(300))
+        await _push_for_a_while(exchange)
+        assert len(link.sent) <= 9, "the budget has not been spent"
+        link.sent.clear()
+        exchange.leave()
+        await exchange.close()
+        return link.sent
+
+    sent = asyncio.run(scenario())
+    assert len(sent) == 3
+    assert all(_names(message) == ["n1"] for message in sent)
+
+
+def test_own_drain_is_told_before_news_of_others():
+    async def scenario() -> dict[str, object]:
+        link = _Link()
+        exchange = _an_exchange(link)
+        exchange.on_push(_news_of(300))
+        exchange.update_me(draining=True)
+        await _push_for_a_while(exchange)
+        return link.sent[0]
+
+    assert _names(asyncio.run(scenario()))[0] == "n1"
