--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -11,17 +11,6 @@
 _DRAIN_GRACE_S = 2.5
 
 
-def _others(world, name):
-    return [m.name for m in world.cluster.machines if m.name != name]
-
-
-def _routes_to(world, at, name):
-    member = world.members(at).get(name)
-    if member is None or member["status"] not in ("alive", "suspect"):
-        return False
-    return bool(member["service"]) and not member["draining"]
-
-
 @when("the node that owns the ticket is killed")
 def kill_owner(context):
     context.world.kill(context.world.owner_of_ticket())
@@ -35,9 +24,9 @@
     machine = world.machine(name)
     world.run(machine.node_process.wait())
     world.run(world.cluster.start_node(machine))
-    for other in _others(world, ""):
+    for other in world.others(""):
         worlds.eventually(
-            lambda other=other: _routes_to(world, other, name),
+            lambda other=other: world.routes_to(other, name),
             f"{other} routes to the new {name}",
         )
 
@@ -52,9 +41,9 @@
     world = context.world
     name = world.owner_of_ticket()
     world.wake(name)
-    for other in _others(world, name):
+    for other in world.others(name):
         worlds.eventually(
-            lambda other=other: _routes_to(world, other, name),
+            lambda other=other: world.routes_to(other, name),
             f"{other} routes to {name}",
         )
 
@@ -76,9 +65,9 @@
     proxy.rules.cut_after_bytes = None
     world = context.world
     name = world.owner_of_ticket()
-    for other in _others(world, name):
+    for other in world.others(name):
         worlds.eventually(
-            lambda other=other: _routes_to(world, other, name),
+            lambda other=other: world.routes_to(other, name),
             f"{other} routes to {name}",
         )
 
@@ -116,32 +105,12 @@
     context.world.stop(name, "node")
 
 
-@then("no node routes to {name} any more")
-def nobody_routes(context, name):
-    world = context.world
-    for other in _others(world, name):
-        worlds.eventually(
-            lambda other=other: not _routes_to(world, other, name),
-            f"{other} no longer routes to {name}",
-        )
-
-
-@then("every node routes to {name} again")
-def everybody_routes(context, name):
-    world = context.world
-    for other in _others(world, ""):
-        worlds.eventually(
-            lambda other=other: _routes_to(world, other, name),
-            f"{other} routes to {name}",
-        )
-
-
 @then("new requests start nothing at {name}")
 def nothing_new(context, name):
     world = context.world
     before = world.status(name)["counters"]["guard.handed_over"]
     for number in range(20):
-        node = _others(world, name)[number % 4]
+        node = world.others(name)[number % 4]
         seen = world.run(world.send(node, "GET", "/enrolment/overview"))
         assert seen.outcome == "done", seen
     after = world.status(name)["counters"]["guard.handed_over"]
@@ -171,10 +140,10 @@
     machine = world.machine(name)
     world.run(world.cluster.start_node(machine))
     world.run(world.cluster.start_backend(machine))
-    for other in _others(world, ""):
+    for other in world.others(""):
         worlds.eventually(
             lambda other=other: (
-                _answers(world, other) and _routes_to(world, other, name)
+                _answers(world, other) and world.routes_to(other, name)
             ),
             f"{other} routes to {name}",
         )
@@ -222,7 +191,7 @@
 @when("the other machines are started again")
 def start_others(context):
     world = context.world
-    for name in _others(world, context.alone):
+    for name in world.others(context.alone):
         machine = world.machine(name)
         world.run(world.cluster.start_node(machine))
         world.run(world.cluster.start_backend(machine))
@@ -254,31 +223,6 @@
         )
 
 
-@then("every node knows that {name} is dead")
-def known_dead(context, name):
-    _known(context.world, name, "dead")
-
-
-@then("every other node knows that {name} is suspect")
-def known_suspect(context, name):
-    world = context.world
-    worlds.eventually(
-        lambda: all(
-            world.members(other)[name]["status"] in ("suspect", "dead")
-            for other in _others(world, name)
-        ),
-        f"{name} is suspected",
-    )
-
-
-def _known(world, name, status):
-    for other in _others(world, name):
-        worlds.eventually(
-            lambda other=other: world.members(other)[name]["status"] == status,
-            f"{other} knows {name} {status}",
-        )
-
-
 @given("the node {name} is frozen")
 def freeze_node(context, name):
     context.world.freeze(name)
@@ -333,36 +277,12 @@
         proxy.cut_open_connections()
 
 
-@then("the nodes of each data centre know the others dead")
-def others_dead(context):
-    world = context.world
-    for machine in world.cluster.machines:
-        for other in world.cluster.machines:
-            if machine.data_center != other.data_center:
-                worlds.eventually(
-                    lambda a=other.name, b=machine.name: (
-                        world.members(a)[b]["status"] == "dead"
-                    ),
-                    f"{other.name} knows {machine.name} dead",
-                )
-
-
 @when("the data centres reach each other again")
 def reach_again(context):
     for proxy in context.world.cluster.proxies.values():
         proxy.rules.refuse_from = frozenset()
 
 
-@then("every node knows every node alive")
-def all_alive(context):
-    world = context.world
-    for machine in world.cluster.machines:
-        worlds.eventually(
-            lambda name=machine.name: _knows_all_alive(world, name),
-            f"{machine.name} knows all alive",
-        )
-
-
 @given("one watcher is frozen and the other one is killed")
 def watchers_fail(context):
     world = context.world
@@ -392,17 +312,10 @@
     context.world.away.discard(context.asleep)
 
 
-def _knows_all_alive(world, name):
-    members = world.members(name)
-    return len(members) == len(world.cluster.machines) and all(
-        member["status"] == "alive" for member in members.values()
-    )
-
-
 @given("the backend servers of {service} are gone")
 def backends_gone(context, service):
     world = context.world
     for machine in world.cluster.of_service(service):
         world.kill(machine.name, "backend")
     for machine in world.cluster.of_service(service):
-        nobody_routes(context, machine.name)
+        worlds.until_nobody_routes_to(world, machine.name)
--- a/features/worlds.py
+++ b/features/worlds.py
@@ -218,6 +218,17 @@
         found = self.run(self.cluster.operator(machine, "members", {}))
         return {member["node"]: member for member in found["members"]}
 
+    def others(self, name: str) -> list[str]:
+        """Returns the names of all machines but one."""
+        return [m.name for m in self.cluster.machines if m.name != name]
+
+    def routes_to(self, at: str, name: str) -> bool:
+        """Whether the router at a node may choose another one."""
+        member = self.members(at).get(name)
+        if member is None or member["status"] not in ("alive", "suspect"):
+            return False
+        return bool(member["service"]) and not member["draining"]
+
     def command(self, text: str, node: str = "enrolment-1") -> render.View:
         """Gives an operator's command."""
         loaded = ctl_settings.CtlSettings(
@@ -244,6 +255,15 @@
         time.sleep(0.1)
 
 
+def until_nobody_routes_to(world: World, name: str) -> None:
+    """Waits until no other node routes to one."""
+    for other in world.others(name):
+        eventually(
+            lambda other=other: not world.routes_to(other, name),
+            f"{other} no longer routes to {name}",
+        )
+
+
 def _holds_now(holds: Callable[[], bool]) -> bool:
     """A process that does not answer at the moment is asked again."""
     try:
--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import os
@@ -197,7 +196,7 @@
             "queue": service.queue,
             "routes": service.routes,
             "embedded": self.layout.embedded,
-            "journal": str(self._journal(machine)),
+            "journal": str(self.journal_of(machine)),
             "seed": self.machines.index(machine) + 1,
             **changes,
         }
@@ -209,17 +208,8 @@
             str(path),
         )
 
-    def journaled_runs(self, machine: Machine) -> dict[str, int]:
-        """Returns how often each confirmation ran beside a machine's node.
-
-        All backend servers that ran there are counted, killed ones too.
-        """
-        path = self._journal(machine)
-        if not path.exists():
-            return {}
-        return dict(collections.Counter(path.read_text().split()))
-
-    def _journal(self, machine: Machine) -> pathlib.Path:
+    def journal_of(self, machine: Machine) -> pathlib.Path:
+        """Returns where runs of confirmations beside a node are noted."""
         return self.directory / f"{machine.name}.runs"
 
     def service_of(self, machine: Machine) -> Service:
--- a/packages/burdockfront-bench/src/burdockfront_bench/experiment.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/experiment.py
@@ -16,6 +16,7 @@
 from burdockfront_bench import analysis
 from burdockfront_bench import callers
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import journal
 from burdockfront_bench import load as load_lib
 from burdockfront_bench import mesh
 from burdockfront_bench import plots
@@ -176,7 +177,7 @@
     for machine in cluster.machines:
         ledger = await cluster.ledger(machine)
         # The journal also has what a process counted that was killed since.
-        ledger["runs"] = cluster.journaled_runs(machine)
+        ledger["runs"] = journal.runs(cluster.journal_of(machine))
         found.setdefault(machine.service, []).append(ledger)
     return found
 
--- a/packages/burdockfront-bench/src/burdockfront_bench/standins/backend.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/backend.py
@@ -23,6 +23,7 @@
 import yarl
 
 from burdockfront import context as context_lib
+from burdockfront_bench import journal
 from burdockfront_client import embedded as embedded_lib
 from burdockfront_client import wire
 from burdockfront_node import servers
@@ -215,8 +216,7 @@
             return
         self.runs[key] = self.runs.get(key, 0) + 1
         if self._spec.journal:
-            with pathlib.Path(self._spec.journal).open("a") as journal:
-                journal.write(f"{key}\n")
+            journal.note(pathlib.Path(self._spec.journal), key)
 
     def _note_work(self, request: asgi.Request, spent_s: float) -> None:
         """Notes starts and slot-seconds by whole request."""
