The scenario of failing watchers now needs their successors

Cause: taken out in a scratch copy, the safeguard (only usable members watch) left the scenario green. Right after a start each node still has a watch of its own, from when it knew nobody, and that one told of the change. Ruled out: the operators' node (the change is written behind the nodes). Change: the step waits until just two watches wait at the stand-in, which counts them now. Without the safeguard red, with it green; stricter than before, nothing else in the scenario changed.

--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -292,6 +292,12 @@
         if world.status(machine.name)["watching"]
     ]
     assert len(watchers) == 2, watchers
+    # While it knew nobody yet, each node watched for itself. Those watches
+    # would still tell of a change that has no watcher left.
+    worlds.eventually(
+        lambda: world.run(world.cluster.waiting_watches()) == 2,
+        "only the two watchers wait at the platform service",
+    )
     context.asleep, killed = watchers
     world.freeze(context.asleep)
     world.kill(killed)
--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -280,6 +280,13 @@
             answer: dict[str, Any] = orjson.loads(await response.read())
             return answer
 
+    async def waiting_watches(self) -> int:
+        """Returns how many watches wait at the platform stand-in now."""
+        async with self.session.get(
+            f"http://{self.platform}/waiting"
+        ) as response:
+            return int(orjson.loads(await response.read())["watches"])
+
     async def control_platform(self, **faults: Any) -> None:
         """Sets faults of the platform stand-in."""
         await self.ask(self.platform, "/control", faults, "")
--- a/packages/burdockfront-bench/src/burdockfront_bench/standins/platform.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/platform.py
@@ -83,6 +83,7 @@
 
     def __init__(self) -> None:
         self.store = Store()
+        self._waiting = 0
 
     def application(self) -> applications.Starlette:
         """Returns the ASGI application."""
@@ -94,6 +95,7 @@
                 routing.Route("/lease/{name}", self.lease, methods=["POST"]),
                 routing.Route("/control", self.control, methods=["POST"]),
                 routing.Route("/calls", self.calls, methods=["GET"]),
+                routing.Route("/waiting", self.waiting, methods=["GET"]),
             ]
         )
 
@@ -111,6 +113,13 @@
 
     async def watch(self, request: requests.Request) -> responses.Response:
         """Waits for items newer than a revision."""
+        self._waiting += 1
+        try:
+            return await self._watch(request)
+        finally:
+            self._waiting -= 1
+
+    async def _watch(self, request: requests.Request) -> responses.Response:
         await self._suffer("watch")
         if self.store.faults.silent_watches:
             await _never_answer()
@@ -177,6 +186,10 @@
         """Returns how many calls there were, by kind."""
         return _json(200, dict(self.store.calls))
 
+    async def waiting(self, request: requests.Request) -> responses.Response:
+        """Returns how many watches wait now."""
+        return _json(200, {"watches": self._waiting})
+
     async def _suffer(self, kind: str) -> None:
         self.store.calls[kind] = self.store.calls.get(kind, 0) + 1
         if self.store.faults.down:
