Nodes that start at once find each other: register, then read, then look again soon

Cause: all nodes start within 0.3 s; each read the directory before the others had written, joined nobody, and looked again only after 15 to 30 s. Ruled out: the exchange (one join told everybody within a second), the guards. No test yet: it comes with the store's stand-in.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
@@ -28,9 +28,12 @@
 # A lapsed key is found out by the next renewal, a tenth of a read each.
 _RENEW_S = 10.0
 _RETRY_S = 0.5
-# A node looks whether it misses members this often: two regions that were
-# replaced while apart have nobody else to bring them together.
-_LOOK_S = 30.0
+# A node looks whether it misses members: soon after its start, since all may
+# start at once and each sees only those that were quicker; and seldom later,
+# since two regions that were replaced while apart have nobody else to bring
+# them together.
+_FIRST_LOOK_S = 0.5
+_MOST_LOOK_S = 30.0
 _ENOUGH = 3
 
 
@@ -64,7 +67,7 @@
         while True:
             self._renew_now.clear()
             try:
-                await self._keep()
+                await self.register()
                 pause_s = _RENEW_S * self._rng.uniform(0.8, 1.0)
             except errors.PlatformError as error:
                 _LOG.info("not registered", extra={"why": str(error)})
@@ -73,10 +76,12 @@
 
     async def look_forever(self) -> None:
         """Joins those that this node does not know, now and then."""
+        pause_s = _FIRST_LOOK_S
         while True:
-            await asyncio.sleep(_LOOK_S * self._rng.uniform(0.5, 1.0))
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+            pause_s = min(_MOST_LOOK_S, pause_s * 2)
             try:
-                await self.join(stale=True)
+                await self.join(stale=pause_s >= _MOST_LOOK_S)
             except errors.PlatformError as error:
                 _LOG.info("directory not read", extra={"why": str(error)})
 
@@ -106,7 +111,12 @@
         except errors.PlatformError as error:
             _LOG.info("directory not left", extra={"why": str(error)})
 
-    async def _keep(self) -> None:
+    async def register(self) -> None:
+        """Renews this node's key, or writes it.
+
+        Raises:
+            PlatformUnavailableError: The store did not answer.
+        """
         if self._lease is not None:
             try:
                 await self._store.renew(self._lease.lease_id)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -212,6 +212,9 @@
 
     async def _join(self) -> bool:
         try:
+            # In this order, of two nodes that start at once one at least
+            # finds the other.
+            await self._directory.register()
             await self._directory.join()
         except errors.PlatformError:
             # The members that found this node are all it can know now.
