--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import time
 
 from burdockfront import allowance
@@ -29,6 +30,8 @@
         repeatable: Whether repeating does no harm; None: judge by the method.
         host: Host that the caller named, where the backend server wants it.
         origin_service: Service beside which the request entered.
+        target_s: An answer that takes longer is late, though of use.
+        trail: What became of each attempt so far, for logs.
     """
 
     service: str
@@ -43,6 +46,8 @@
     repeatable: bool | None = None
     host: str = ""
     origin_service: str = ""
+    target_s: float = math.inf
+    trail: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def idempotent(self) -> bool:
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -287,6 +287,16 @@
         call: calls.Call,
         target: routing.Target,
         ticket: tickets.Ticket | None,
+    ) -> calls.Sent:
+        sent = await self._send_within(call, target, ticket)
+        call.trail.append(f"{target.node_id}: {_fate_of(sent)}")
+        return sent
+
+    async def _send_within(
+        self,
+        call: calls.Call,
+        target: routing.Target,
+        ticket: tickets.Ticket | None,
     ) -> calls.Sent:
         policy = self._policy_of(call.service)
         timeout_s = max(_MIN_REMAINING_S, call.deadline_s - time.monotonic())
@@ -310,7 +320,10 @@
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
             )
         tried = frozenset(progress.tried)
-        target = self.router.choose(call.service, tried, now_s)
+        class_name = call.context.class_name
+        target = self.router.choose(
+            call.service, tried, now_s, class_name=class_name
+        )
         if target is None and progress.lost:
             # All were tried; a lost answer may be asked for once more.
             target = self.router.choose(call.service, frozenset(), now_s)
@@ -376,3 +389,10 @@
             ratio = allowance_lib.RetryRatio(share, self._retry_burst)
             self._ratios[service] = ratio
         return ratio
+
+
+def _fate_of(sent: calls.Sent) -> str:
+    """Returns in a word what became of an attempt, for logs."""
+    if sent.answer is None:
+        return sent.fate.value
+    return sent.answer.reason or sent.answer.outcome
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -22,6 +22,10 @@
 # A guard gets a little less time than we wait, so that its own answer about
 # an expired deadline still reaches us.
 _ANSWER_MARGIN_S = 0.02
+_SERVER_ERROR = 500
+_TIMEOUT_STATUS = 504
+# An error after so much of its time is one for lack of time.
+_USED_UP_SHARE = 0.8
 
 LocalGuard = Callable[[calls.Attempt], Awaitable[outcomes.Answer]]
 
@@ -78,6 +82,7 @@
             overdue_s: After this the guard's silence counts against it.
             limit_bytes: Largest answer.
         """
+        started_s = time.monotonic()
         attempt = self._attempt_of(call, ticket, timeout_s)
         attempt_id = attempt.context.attempt_id
         self._counters.attempts += 1
@@ -105,7 +110,8 @@
         finally:
             alarm.cancel()
         call.pool.give_back(attempt_id, answer.unspent)
-        self._learn(call, target, answer)
+        elapsed_s = time.monotonic() - started_s
+        self._learn(call, target, answer, elapsed_s)
         return calls.Sent(calls.Fate.ANSWERED, answer)
 
     def _attempt_of(
@@ -176,8 +182,10 @@
         call: calls.Call,
         target: routing.Target,
         answer: outcomes.Answer,
+        elapsed_s: float,
     ) -> None:
         now_s = time.monotonic()
+        self._learn_pace(call, target, answer, elapsed_s)
         self._router.answered(
             target.node_id, answer.load, answer.draining, now_s
         )
@@ -189,6 +197,32 @@
                 now_s,
             )
 
+    def _learn_pace(
+        self,
+        call: calls.Call,
+        target: routing.Target,
+        answer: outcomes.Answer,
+        elapsed_s: float,
+    ) -> None:
+        if answer.outcome is outcomes.Outcome.NOT_RUN:
+            return
+        pace = self._router.pace
+        good = (
+            answer.outcome is outcomes.Outcome.DONE
+            and answer.status < _SERVER_ERROR
+        )
+        if good:
+            pace.answered(
+                call.service,
+                target.node_id,
+                call.context.class_name,
+                elapsed_s,
+            )
+        used_up = elapsed_s >= call.context.remaining_s * _USED_UP_SHARE
+        too_late = good and elapsed_s > call.target_s
+        timed_out = not good and (used_up or answer.status == _TIMEOUT_STATUS)
+        pace.in_time(call.service, late=too_late or timed_out)
+
     def _overdue(self, node_id: str) -> None:
         if self._router.overdue(node_id, time.monotonic()):
             self._record_ejection(node_id)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -87,6 +87,7 @@
             repeatable=idempotent,
             host=host,
             origin_service=self._origin_service,
+            target_s=route.target_latency_s,
         )
 
     def _passed_on(
--- a/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
@@ -20,7 +20,8 @@
         context = entry.context
         assert context is not None
         started_s = time.monotonic()
-        kind = "entry" if entry.parent is None else "deeper"
+        deeper = entry.from_backend or entry.parent is not None
+        kind = "deeper" if deeper else "entry"
         self._recorder.record(
             time.time(),
             f"{kind}.accepted",
@@ -41,6 +42,7 @@
             outcome=answer.outcome.value,
             reason=answer.reason.value if answer.reason else "",
             status=answer.status,
+            trail=entry.call.trail if entry.call else [],
             elapsed_s=round(time.monotonic() - started_s, 4),
         )
         return answer
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -22,6 +22,8 @@
 import random
 from collections.abc import Iterable
 
+from burdockfront import pace
+
 _SILENT_CALLS = 3
 _FIRST_PAUSE_S = 0.5
 _MAX_PAUSE_S = 8.0
@@ -30,8 +32,14 @@
 _DRAIN_BELIEVED_S = 5.0
 # A guard at 1.0 has all slots in use: the next call waits.
 _PRESSED = 1.0
-# Less is within what a load told half a second ago may be off by.
-_WORTH_LEAVING = 0.15
+# Guards elsewhere that are compared; more would send everybody to the best.
+_FAR_TRIED = 2
+# Time lost on the way to another data centre and back, by usual distances.
+_FAR_S = 0.003
+# While answers come in time, a wait of this and of a typical answer more is
+# cheaper than the bytes between data centres.
+_CALM_FAR_S = 0.02
+_UNKNOWN_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +92,7 @@
     def __init__(self, data_center: str, rng: random.Random):
         self._data_center = data_center
         self._rng = rng
+        self.pace = pace.PaceBook()
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
 
@@ -100,6 +109,7 @@
         for node_id in list(self._states):
             if node_id not in known:
                 del self._states[node_id]
+                self.pace.forget(node_id)
 
     def services(self) -> list[str]:
         """Returns the names of known services."""
@@ -119,6 +129,7 @@
         tried: frozenset[str],
         now_s: float,
         probe: bool = True,
+        class_name: str = "",
     ) -> Target | None:
         """Returns the guard for a call, or None when there is none left.
 
@@ -128,6 +139,7 @@
             now_s: The current time.
             probe: Whether this call may find out if an ejected guard is
                 back. Not for tickets, which tie a confirmation to it.
+            class_name: Class of the request, to know how long it takes.
         """
         open_targets = [
             target
@@ -143,7 +155,7 @@
         usable = self._with_floor(open_targets, usable)
         if not usable:
             return None
-        return self._nearest_with_room(usable, now_s)
+        return self._nearest_with_room(service, class_name, usable, now_s)
 
     def sent(self, node_id: str) -> None:
         """Counts a call on its way."""
@@ -249,25 +261,40 @@
         return usable + ejected[: floor - len(usable)]
 
     def _nearest_with_room(
-        self, targets: list[Target], now_s: float
+        self, service: str, class_name: str, targets: list[Target], now_s: float
     ) -> Target | None:
-        """Returns a guard of our data centre while it has room.
+        """Returns a guard of our data centre, unless another one is worth it.
 
         Ways between data centres cost time and money, so work leaves its own
-        only when that is pressed, and only to where there is clearly more
-        room. Symptom without: one data centre drowns beside idle ones.
+        only for a gain in time that is above a price: for the wait while its
+        own is pressed, and for speed while answers come too late. Symptom
+        without: one data centre drowns, or is always late, beside idle ones.
         """
         near = [t for t in targets if t.data_center == self._data_center]
         far = [t for t in targets if t.data_center != self._data_center]
         if not near:
             return self._better_of_two(far, now_s)
         best = self._better_of_two(near, now_s)
-        pressure = self._score(best, now_s)
-        if not far or pressure <= _PRESSED:
+        if not far:
             return best
-        other = self._better_of_two(far, now_s)
-        gained = pressure - self._score(other, now_s)
-        return other if gained > _WORTH_LEAVING else best
+        typical_s = self.pace.typical_s(service, class_name) or _UNKNOWN_S
+        other = min(
+            self._rng.sample(far, min(_FAR_TRIED, len(far))),
+            key=lambda t: self._expected_s(t, typical_s, now_s),
+        )
+        gained_s = self._expected_s(best, typical_s, now_s)
+        gained_s -= self._expected_s(other, typical_s, now_s)
+        calm = 1.0 - self.pace.hurry(service)
+        price_s = _FAR_S + calm * (_CALM_FAR_S + typical_s)
+        return other if gained_s > price_s else best
+
+    def _expected_s(
+        self, target: Target, typical_s: float, now_s: float
+    ) -> float:
+        """Returns how long an answer of a guard will take from now on."""
+        waiting = max(0.0, self._score(target, now_s) - _PRESSED)
+        relative = self.pace.relative(target.service, target.node_id)
+        return typical_s * relative * (1.0 + waiting)
 
     def _better_of_two(self, targets: list[Target], now_s: float) -> Target:
         if len(targets) == 1:
