--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,11 +2,13 @@
 
 from burdockfront import admission
 from burdockfront import context
+from burdockfront import incarnations
 from burdockfront import keyring
 from burdockfront import limits
 from burdockfront import membership
 from burdockfront import outcomes
 from burdockfront import policy
+from burdockfront import routes
 from burdockfront import routing
 from burdockfront import tickets
 
@@ -82,3 +84,37 @@
 
 def an_answer(body: bytes = b"whole") -> outcomes.Answer:
     return outcomes.Answer(outcomes.Outcome.DONE, 200, body=body)
+
+
+def a_route(name: str = "browse", **changes: object) -> routes.Route:
+    fields = {
+        "name": name,
+        "prefix": "/a/",
+        "repeat": routes.Repeat.IDEMPOTENT,
+        "shares": (routes.Share("catalogue", 1.0),),
+        "timeout_s": 5.0,
+        "target_latency_s": 1.0,
+        "rank": 2,
+        "max_attempts": 2,
+    }
+    return routes.Route(**{**fields, **changes})
+
+
+def a_table(version: int = 1, *found: routes.Route) -> routes.RouteTable:
+    host = routes.VirtualHost("shop.example", found or (a_route(),))
+    return routes.RouteTable(version, (host,))
+
+
+def a_beat(
+    instance_id: str = "i-1", sequence: int = 1, leaving: bool = False
+) -> incarnations.Heartbeat:
+    return incarnations.Heartbeat(
+        instance_id=instance_id,
+        service="catalogue",
+        data_center="dc1",
+        release="v1",
+        slots=4,
+        leaving=leaving,
+        warm_in_s=0.0,
+        sequence=sequence,
+    )
