Requests that would starve below are refused before any work

What: guards tell new work from calls by where requests enter; nodes learn which classes fail while their calls find no room, and put them on the path of that service's level. Paid work may wait longer at a guard. Ruled out: linking by deadlines (calls have a cap below their parents' time, so most are ambiguous); ids of requests (their form is nobody's promise).

--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -77,6 +77,9 @@
         retry_burst: float = allowance_lib.DEFAULT_BURST,
     ):
         self._retry_burst = retry_burst
+        # Learns from final answers, where contexts do not travel.
+        self.observer: Callable[[calls.Call, outcomes.Answer], None] | None
+        self.observer = None
         self.router = routing.Router(data_center, rng)
         self.book = levels.LevelBook()
         self.counters = calls.Counters()
@@ -125,8 +128,14 @@
 
     async def call(self, call: calls.Call) -> outcomes.Answer:
         """Brings a call to its final answer."""
+        answer = await self._answer(call)
+        if self.observer is not None:
+            self.observer(call, answer)
+        return answer
+
+    async def _answer(self, call: calls.Call) -> outcomes.Answer:
         self.counters.calls += 1
-        if call.context.depth > 0:
+        if call.context.depth > 0 and self.observer is None:
             # Only calls of our own backend server lie below its requests. A
             # request that merely enters here would pull the level of its
             # service into that of another one.
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -118,6 +118,8 @@
             None if answer.load is None else round(answer.load, 3),
             answer.draining,
             stamp,
+            answer.starved,
+            answer.inner,
         ]
     ).decode()
 
@@ -161,5 +163,7 @@
         queue_s=parts[7],
         load=parts[8],
         draining=parts[9],
+        starved=parts[11],
+        inner=parts[12],
     )
     return answer, parts[10]
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
@@ -1,5 +1,6 @@
 """Takes the heartbeats of the backend server beside this node."""
 
+import math
 import time
 
 from burdockfront import incarnations as incarnations_lib
@@ -11,6 +12,9 @@
 # crashed is found out sooner, because it refuses connections.
 SILENT_AFTER_S = 7.0
 CHECK_S = 1.0
+# Some backend servers slow down for all their requests when nearly full; the
+# last few slots then cost more than they bring.
+_USABLE_SLOTS = 0.95
 
 
 class Heartbeats:
@@ -66,7 +70,7 @@
             backend_lib.Announcement(
                 service=current.service,
                 address=self._address,
-                slots=current.slots,
+                slots=max(1, math.floor(current.slots * _USABLE_SLOTS)),
                 state="draining" if current.leaving else "ready",
                 load=0.0,
                 embedded=False,
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -23,6 +23,7 @@
 from burdockfront_node import guard as guard_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import internal_app
+from burdockfront_node import lineage as lineage_lib
 from burdockfront_node import operators as operators_lib
 from burdockfront_node import servers
 from burdockfront_node import settings as settings_lib
@@ -177,6 +178,7 @@
             self._ready,
             self._new_handover(),
             self._guard_rules(),
+            self._new_lineage(),
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
@@ -200,6 +202,10 @@
         """Returns the way to the backend server; None: the product's own."""
         return None
 
+    def _new_lineage(self) -> lineage_lib.Lineage | None:
+        """Returns what ties calls together where no context travels."""
+        return None
+
     def _guard_rules(self) -> guard_lib.GuardRules:
         """Returns what differs between the places of a guard."""
         return guard_lib.GuardRules()
--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -37,7 +37,6 @@
         call: The call to dispatch, once it is known.
         caller_request_id: Id that the caller gave, where routes want one.
         caller_waits_s: How long the caller said it will wait.
-        from_backend: The backend server beside this node made the request.
     """
 
     request: asgi.Request
@@ -52,7 +51,6 @@
     call: calls.Call | None = None
     caller_request_id: str = ""
     caller_waits_s: float | None = None
-    from_backend: bool = False
 
     @property
     def request_id(self) -> str:
@@ -68,11 +66,13 @@
         book: The table in force.
         reserved: Lower-case names of headers that only nodes may set.
         origin_service: Service beside this node.
+        is_new_work: Tells of a class whether its requests are callers'.
     """
 
     book: routes.RouteBook
     reserved: frozenset[str]
     origin_service: str
+    is_new_work: Callable[[str], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -32,6 +32,7 @@
         self._book = tools.routed.book
         self._reserved = tools.routed.reserved
         self._origin_service = tools.routed.origin_service
+        self._is_new_work = tools.routed.is_new_work
 
     async def __call__(
         self, entry: base.Entry, following: base.Next
@@ -70,7 +71,7 @@
             class_name=route.name,
             rank=route.rank,
             ordinal=identify.ordinal_of(entry.caller_request_id),
-            depth=1 if entry.from_backend else 0,
+            depth=0 if self._is_new_work(route.name) else 1,
             remaining_s=remaining_s,
             allowance=units,
         )
--- a/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
@@ -20,8 +20,7 @@
         context = entry.context
         assert context is not None
         started_s = time.monotonic()
-        deeper = entry.from_backend or entry.parent is not None
-        kind = "deeper" if deeper else "entry"
+        kind = "entry" if entry.parent is None else "deeper"
         self._recorder.record(
             time.time(),
             f"{kind}.accepted",
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -26,6 +26,7 @@
 from burdockfront_node import backend as backend_lib
 from burdockfront_node import gate as gate_lib
 from burdockfront_node import handover as handover_lib
+from burdockfront_node import lineage as lineage_lib
 from burdockfront_node import ticket_runs
 
 _TICK_S = 0.02
@@ -74,6 +75,7 @@
         ready: Whether this node knows the configuration; before, the deeper
             calls of its backend server would be refused.
         handover: The way to the backend server.
+        lineage: Learns what no context says, where none travels.
         rules: What differs between places.
     """
 
@@ -89,7 +91,9 @@
         ready: asyncio.Event,
         handover: handover_lib.Handover | None = None,
         rules: GuardRules | None = None,
+        lineage: lineage_lib.Lineage | None = None,
     ):
+        self._lineage = lineage
         self._rules = rules or GuardRules()
         self.node_id = node_id
         self.ledger = ledger
@@ -197,6 +201,8 @@
 
     async def handle(self, attempt: calls.Attempt) -> outcomes.Answer:
         """Serves one attempt, from the network or from this node."""
+        if self._lineage is not None:
+            attempt = self._lineage.classify(attempt)
         if attempt.ticket is not None:
             answer = await self.tickets.serve(attempt, attempt.ticket)
         elif attempt.call.idempotent:
@@ -304,6 +310,8 @@
             service_s = time.monotonic() - started_s
             self._note_end(answer, service_s)
             gate.leave(service_s)
+        if self._lineage is not None:
+            answer = self._lineage.run_ended(attempt, started_s, answer)
         self._record(
             "call.answered",
             attempt,
@@ -359,6 +367,7 @@
             level=self._told_level(context, answer),
             load=self.load(),
             draining=not self.takes_work or self.announcement is None,
+            inner=context.depth > 0,
         )
 
     def _told_level(
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -0,0 +1,85 @@
+"""Ties calls of a backend server that knows nothing of this system together.
+
+Where no context travels through a backend server, each node learns from what
+passes through it which requests are new work, and which classes of requests
+fail for want of room below (see `burdockfront.starvation`). A class that does
+is put on the path of the service in question, so that its new requests are
+refused by that service's level, before any work is spent on them.
+"""
+
+import dataclasses
+import time
+from collections.abc import Callable
+
+from burdockfront import levels
+from burdockfront import outcomes
+from burdockfront import starvation
+from burdockfront_client import calls
+
+_SERVER_ERROR = 500
+_NO_ROOM = frozenset(
+    [
+        outcomes.Reason.OVERLOAD,
+        outcomes.Reason.OVERLOAD_DEEPER,
+        outcomes.Reason.DEADLINE,
+        outcomes.Reason.REJECTED,
+    ]
+)
+
+
+class Lineage:
+    """What one node learned of the requests that pass through it.
+
+    Args:
+        book: Levels of other services, and the paths that lead there.
+        services: Returns how many services there are.
+    """
+
+    def __init__(self, book: levels.LevelBook, services: Callable[[], int]):
+        self._book = book
+        self._services = services
+        self._origins = starvation.OriginBook()
+        self._starvation = starvation.StarvationBook()
+        self._new_work: set[str] = set()
+
+    def is_new_work(self, class_name: str) -> bool:
+        """Whether guards said that requests of a class are new work."""
+        return class_name in self._new_work
+
+    def classify(self, attempt: calls.Attempt) -> calls.Attempt:
+        """Says of an attempt that arrives at the guard what kind it is."""
+        class_name = attempt.context.class_name
+        self._origins.heard(class_name, attempt.call.origin_service)
+        new = self._origins.is_new_work(class_name, self._services())
+        context = dataclasses.replace(attempt.context, depth=0 if new else 1)
+        return dataclasses.replace(attempt, context=context)
+
+    def run_ended(
+        self, attempt: calls.Attempt, started_s: float, answer: outcomes.Answer
+    ) -> outcomes.Answer:
+        """Learns from the end of a request at the backend server."""
+        class_name = attempt.context.class_name
+        timed_out = answer.reason is outcomes.Reason.DEADLINE
+        failed = answer.status >= _SERVER_ERROR and (
+            answer.outcome is outcomes.Outcome.DONE or timed_out
+        )
+        starved = self._starvation.ended(class_name, started_s, failed)
+        now_s = time.monotonic()
+        for child in self._starvation.causes(class_name):
+            self._book.called(
+                class_name, child.service, now_s, child.class_name
+            )
+        return dataclasses.replace(answer, starved=starved)
+
+    def call_ended(self, call: calls.Call, answer: outcomes.Answer) -> None:
+        """Learns from the final answer to a call that was sent from here."""
+        class_name = call.context.class_name
+        if answer.inner:
+            self._new_work.discard(class_name)
+        elif answer.load is not None:
+            # A guard's own word; answers made here say nothing of the kind.
+            self._new_work.add(class_name)
+        no_room = answer.reason in _NO_ROOM or answer.starved
+        if no_room and class_name not in self._new_work:
+            child = starvation.Child(call.service, class_name)
+            self._starvation.refused(child, time.monotonic())
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -19,6 +19,7 @@
 from burdockfront_node import guard as guard_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import internal_app
+from burdockfront_node import lineage as lineage_lib
 from burdockfront_node import routed_entry
 from burdockfront_node import routed_handover
 from burdockfront_node import servers
@@ -42,6 +43,9 @@
 # Time to write the last answers and close connections before the kill.
 _STOP_MARGIN_S = 0.7
 _STOP_POLL_S = 0.05
+# After the guard refuses new work, requests of the backend server beside this
+# node still make their calls through it; most end within this time.
+_LAST_REQUESTS_S = 0.5
 _USUAL_NODES = 16
 _PEERS_ASKED = 3
 
@@ -60,6 +64,7 @@
         self._adapter = surroundings.load(settings.routed.adapter)
         self._book = routes_lib.RouteBook(random.Random(secrets.randbits(64)))
         self._incarnations = incarnations_lib.Incarnations()
+        self._refuses_after_s: float | None = None
         super().__init__(settings, path)
 
     # ---- wiring ---------------------------------------------------------
@@ -102,6 +107,14 @@
             self._adapter.dialect, self._incarnations, self._attempts
         )
 
+    def _new_lineage(self) -> lineage_lib.Lineage:
+        router = self._dispatcher.router
+        self._lineage = lineage_lib.Lineage(
+            self._dispatcher.book, lambda: len(router.services())
+        )
+        self._dispatcher.observer = self._lineage.call_ended
+        return self._lineage
+
     def _guard_rules(self) -> guard_lib.GuardRules:
         return guard_lib.GuardRules(
             drain_grace_s=0.0,
@@ -123,6 +136,7 @@
             self._book,
             self._adapter.dialect.reserved,
             self._place.service,
+            self._lineage.is_new_work,
         )
         return base.Tools(
             self._dispatcher,
@@ -134,12 +148,11 @@
 
     def _new_listeners(self) -> list[servers.Listener]:
         settings = self._settings
-        own_ip = settings.caller_address.rpartition(":")[0]
         entry = routed_entry.RoutedEntryApp(
             chain.build(self._tools(), chain.ROUTED_ORDER),
             self._adapter.dialect,
             self._book,
-            frozenset([own_ip, "127.0.0.1"]),
+            self._takes_requests,
         )
         heartbeats = heartbeats_lib.Heartbeats(
             self._place.backend_address,
@@ -173,6 +186,17 @@
         """Whether callers may be sent here."""
         return self._ready.is_set() and not self._stop.is_set()
 
+    def _takes_requests(self) -> bool:
+        """Whether requests are still taken from callers.
+
+        A request taken shortly before the end of the process would be cut
+        off in the middle. It is refused instead, which promises that it did
+        not run; by then callers have been told that this node is out.
+        """
+        if self._refuses_after_s is None:
+            return True
+        return time.monotonic() < self._refuses_after_s
+
     # ---- life -----------------------------------------------------------
 
     def _works(self) -> list[supervision.Work]:
@@ -234,6 +258,7 @@
             time.time(), "node.stopping", in_flight=self._guard.in_flight
         )
         drain = self._settings.drain
+        self._refuses_after_s = began_s + drain.notice_s + _LAST_REQUESTS_S
         self._guard.drain(drain.notice_s)
         self._backends.publish()
         await asyncio.sleep(drain.notice_s)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_entry.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from burdockfront import errors
 from burdockfront import outcomes
@@ -11,6 +12,8 @@
 from burdockfront_node.internal import asgi
 
 _LOG = logging.getLogger(__name__)
+# Callers come back to another node, or to the next process at this place.
+_LEAVING_RETRY_S = 0.5
 
 
 class RoutedEntryApp:
@@ -20,8 +23,7 @@
         chain: First link of the chain of filters.
         dialect: How callers speak.
         book: The table in force, for its limits.
-        own_hosts: IP numbers of this VM; requests from there are calls of the
-            backend server beside this node.
+        takes_requests: Tells whether new requests are still taken.
     """
 
     def __init__(
@@ -29,12 +31,12 @@
         chain: base.Next,
         dialect: surroundings.Dialect,
         book: routes.RouteBook,
-        own_hosts: frozenset[str],
+        takes_requests: Callable[[], bool],
     ):
         self._chain = chain
         self._dialect = dialect
         self._book = book
-        self._own_hosts = own_hosts
+        self._takes_requests = takes_requests
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -45,13 +47,16 @@
         request_id = ""
         try:
             request = await self._read(scope, receive)
-            entry = self._entry_of(scope, request)
+            entry = self._entry_of(request)
             request_id = entry.caller_request_id
         except errors.InvalidInputError as error:
             await self._send(send, _refusal_of(error), request_id)
             return
         except asgi.CallerGoneError:
             return
+        if not self._takes_requests():
+            await self._send(send, _leaving(), request_id, last=True)
+            return
         answer = await asgi.unless_gone(receive, self._answer(entry))
         if answer is not None:
             await self._send(send, answer, request_id)
@@ -69,14 +74,12 @@
         except TimeoutError:
             raise asgi.BodyTooSlowError(limits.idle_timeout_s) from None
 
-    def _entry_of(self, scope: asgi.Scope, request: asgi.Request) -> base.Entry:
+    def _entry_of(self, request: asgi.Request) -> base.Entry:
         terms = self._dialect.terms_of(request.headers)
-        client = scope.get("client")
         return base.Entry(
             request,
             caller_request_id=terms.request_id,
             caller_waits_s=terms.remaining_s,
-            from_backend=bool(client) and client[0] in self._own_hosts,
         )
 
     async def _answer(self, entry: base.Entry) -> outcomes.Answer:
@@ -93,10 +96,22 @@
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
 
     async def _send(
-        self, send: asgi.Send, answer: outcomes.Answer, request_id: str
+        self,
+        send: asgi.Send,
+        answer: outcomes.Answer,
+        request_id: str,
+        last: bool = False,
     ) -> None:
+        """Sends an answer; the last one of its connection closes it."""
         told = self._dialect.to_caller(answer, request_id)
-        await asgi.respond(send, told.status, list(told.headers), told.body)
+        headers = list(told.headers)
+        if last:
+            headers.append(("Connection", "close"))
+        await asgi.respond(send, told.status, headers, told.body)
+
+
+def _leaving() -> outcomes.Answer:
+    return outcomes.not_run(outcomes.Reason.DRAINING, _LEAVING_RETRY_S)
 
 
 def _refusal_of(error: errors.InvalidInputError) -> outcomes.Answer:
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -61,6 +61,7 @@
     priority: int
     arrived_s: float
     give_up_s: float
+    patient: bool
     gone: bool = False
 
 
@@ -125,12 +126,14 @@
         if context.remaining_s <= 0.0:
             return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
         self._count_admitted(context)
+        patience_s = self._patience_s(context)
         waiting = _Waiting(
             item_id,
             self._order(context),
             context.priority,
             now_s,
-            now_s + self._patience_s(context),
+            now_s + patience_s,
+            patience_s > self._policy.queue_s,
         )
         self._by_id[item_id] = waiting
         heapq.heappush(
@@ -236,8 +239,10 @@
         excess = len(self._by_id) - max(_MIN_QUEUE, useful)
         if excess <= 0:
             return ()
+        # What may wait longer is not dropped for being many.
+        droppable = [w for w in self._by_id.values() if not w.patient]
         worst = heapq.nlargest(
-            excess, self._by_id.values(), key=lambda w: (w.order, w.arrived_s)
+            excess, droppable, key=lambda w: (w.order, w.arrived_s)
         )
         return tuple(self._refuse(waiting) for waiting in worst)
 
@@ -286,14 +291,17 @@
         return (context.rank, new_work, context.ordinal)
 
     def _patience_s(self, context: context_lib.RequestContext) -> float:
-        """The most important requests may wait longer.
+        """Paid work and the most important requests may wait longer.
+
+        To drop a call of an upper layer fails the whole request, with all
+        that was done for it; a wait merely makes it later.
 
         They are first in the queue, so they wait long only while slots are
         held by requests that wait in a deeper service themselves. Dropping
         a confirmation for that would shed it before the browsing that holds
         the slots.
         """
-        if context.rank > 0:
+        if context.rank > 0 and context.depth == 0:
             return super()._patience_s(context)
         longest_s = self._policy.queue_s * _TOP_RANK_PATIENCE
         return min(longest_s, context.remaining_s / 2)
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -183,7 +183,8 @@
 
     def __init__(self) -> None:
         self._heard: dict[tuple[str, str], _Heard] = {}
-        self._called: dict[tuple[str, str], float] = {}
+        # Class above, service and class below, and when that was seen last.
+        self._called: dict[tuple[str, str, str], float] = {}
 
     def hear(
         self, service: str, class_name: str, level: int, now_s: float
@@ -208,16 +209,30 @@
         faded_s = max(0.0, now_s - heard.at_s - _FADE_AFTER_S)
         return min(OPEN, int(heard.level + faded_s * _FADE_PER_S))
 
-    def called(self, class_name: str, service: str, now_s: float) -> None:
-        """Notes that requests of a class lead to calls of a service."""
-        self._called[(class_name, service)] = now_s
+    def called(
+        self,
+        class_name: str,
+        service: str,
+        now_s: float,
+        called_class: str | None = None,
+    ) -> None:
+        """Notes that requests of a class lead to calls of a service.
+
+        Args:
+            class_name: Class of the requests.
+            service: Service that is called.
+            now_s: The current time.
+            called_class: Class of the calls; by default that of the requests,
+                which calls inherit where they carry a context.
+        """
+        self._called[(class_name, service, called_class or class_name)] = now_s
 
     def path_level(self, class_name: str, now_s: float) -> int:
         """Returns the lowest level below requests of a class."""
         level = OPEN
-        for (name, service), at_s in self._called.items():
+        for (name, service, called_class), at_s in self._called.items():
             if name == class_name and now_s - at_s < _KEEP_S:
-                level = min(level, self.level_of(service, class_name, now_s))
+                level = min(level, self.level_of(service, called_class, now_s))
         return level
 
     def forget(self, now_s: float) -> None:
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -68,6 +68,8 @@
         queue_s: Time that the request waited for a slot.
         load: Slots in use or waited for, divided by the slots.
         draining: The guard that answered takes no new work.
+        starved: It failed because a service here or below had no room.
+        inner: The guard takes it for a call of a backend server.
     """
 
     outcome: Outcome
@@ -82,6 +84,8 @@
     queue_s: float = 0.0
     load: float | None = None
     draining: bool = False
+    starved: bool = False
+    inner: bool = False
 
 
 _STATUS_OF_REASON = {
