--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -33,6 +33,9 @@
 from burdockfront_client import sender as sender_lib
 
 _MIN_REMAINING_S = 0.002
+_LEVEL_REFUSALS = frozenset(
+    [outcomes.Reason.SHED, outcomes.Reason.OVERLOAD_DEEPER]
+)
 _BACKEND_REFUSALS = frozenset(
     [outcomes.Reason.REJECTED, outcomes.Reason.OTHER_INCARNATION]
 )
@@ -285,8 +288,13 @@
 
         A guard's own refusal cost nobody any work. One of a backend server
         did: it was handed the request, and all that goes on after it adds to
-        the load like a retry, so it is bounded like one.
+        the load like a retry, so it is bounded like one. And what was refused
+        by level is refused for what it is: another guard that happens to be a
+        little less pressed would let in what all should leave out, and whoever
+        has the most guards to try would be served before the others.
         """
+        if refusal.reason in _LEVEL_REFUSALS:
+            return False
         if refusal.reason not in _BACKEND_REFUSALS:
             return True
         return self._ratio(call.service).retry()
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -5,6 +5,9 @@
 much it matters and how long its caller may be kept waiting.
 """
 
+import dataclasses
+import random
+import secrets
 import time
 
 from burdockfront import allowance
@@ -19,6 +22,16 @@
 # A final answer still has to be written when the time is over; this is for
 # one process under load to get round to it.
 _ANSWER_MARGIN_S = 0.05
+_PRESSURE = frozenset(
+    [
+        outcomes.Reason.OVERLOAD,
+        outcomes.Reason.OVERLOAD_DEEPER,
+        outcomes.Reason.SHED,
+    ]
+)
+# Of the time within which an answer has its full value.
+_RETURN_SHARES = (0.3, 0.6)
+_MOST_RETURN_S = 2.0
 # Until the first table is here. Starting takes about as long.
 _UNCONFIGURED_RETRY_S = 0.5
 
@@ -32,6 +45,7 @@
         self._book = tools.routed.book
         self._reserved = tools.routed.reserved
         self._origin_service = tools.routed.origin_service
+        self._rng = random.Random(secrets.randbits(64))
         self._is_new_work = tools.routed.is_new_work
 
     async def __call__(
@@ -50,7 +64,21 @@
         if found is None:
             return outcomes.not_run(outcomes.Reason.NO_ROUTE)
         self._prepare(entry, found, host)
-        return await following(entry)
+        answer = await following(entry)
+        if answer.reason not in _PRESSURE:
+            return answer
+        retry_after_s = self._when_to_return_s(found.route)
+        return dataclasses.replace(answer, retry_after_s=retry_after_s)
+
+    def _when_to_return_s(self, route: routes.Route) -> float:
+        """Returns when a caller that was refused for pressure should return.
+
+        Soon enough that an answer is still of full value then; pressure moves
+        within tenths of a second, so later is no better. Spread out, since
+        many are refused in the same moment.
+        """
+        share = self._rng.uniform(*_RETURN_SHARES)
+        return min(_MOST_RETURN_S, share * route.target_latency_s)
 
     def _prepare(
         self, entry: base.Entry, found: routes.Found, host: str
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -76,6 +76,10 @@
         """Returns the highest admitted priority number."""
         return self._admission.level()
 
+    def busy(self) -> float:
+        """Returns the share of slots in use lately, as the level sees it."""
+        return self._admission.busy()
+
     def load(self) -> float:
         """Returns slots used and waited for, per slot."""
         return self._admission.load(time.monotonic())
@@ -106,13 +110,16 @@
             self._waiting.pop(attempt_id, None)
         return refusal
 
-    def leave(self, service_s: float) -> None:
+    def leave(self, service_s: float, class_name: str = "") -> None:
         """Gives a slot back.
 
         Args:
             service_s: How long it was used.
+            class_name: Class of the request, if it was served.
         """
         now_s = time.monotonic()
+        if class_name:
+            self._admission.served(class_name, service_s)
         self._follow(self._admission.release(service_s, now_s))
 
     def tick(self) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -225,7 +225,21 @@
                 await asyncio.sleep(_TICK_S)
             self._stalls.check(time.monotonic())
             if self._gate is not None:
-                self._gate.tick()
+                self._tick(self._gate)
+
+    def _tick(self, gate: gate_lib.Gate) -> None:
+        before = gate.level()
+        gate.tick()
+        if gate.level() != before:
+            self._recorder.record(
+                time.time(),
+                "guard.level",
+                before=before,
+                after=gate.level(),
+                busy=round(gate.busy(), 3),
+                in_flight=gate.in_flight,
+                slots=gate.slots,
+            )
 
     async def _until_hurry(self) -> None:
         try:
@@ -309,7 +323,9 @@
         finally:
             service_s = time.monotonic() - started_s
             self._note_end(answer, service_s)
-            gate.leave(service_s)
+            served = answer is not None and answer.reason is None
+            class_name = attempt.context.class_name if served else ""
+            gate.leave(service_s, class_name)
         if self._lineage is not None:
             answer = self._lineage.run_ended(attempt, started_s, answer)
         self._record(
--- a/packages/burdockfront-node/src/burdockfront_node/problems.py
+++ b/packages/burdockfront-node/src/burdockfront_node/problems.py
@@ -12,6 +12,8 @@
 
 _TITLES = {
     outcomes.Reason.OVERLOAD: "The service is overloaded.",
+    outcomes.Reason.SHED: "The service is overloaded; more important requests "
+    "go first.",
     outcomes.Reason.OVERLOAD_DEEPER: "A deeper service is overloaded.",
     outcomes.Reason.DEADLINE: "The deadline can't be met.",
     outcomes.Reason.DRAINING: "The backend server is leaving.",
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -20,6 +20,7 @@
 from typing import Protocol
 
 from burdockfront import context as context_lib
+from burdockfront import flow_level
 from burdockfront import levels
 from burdockfront import limits
 from burdockfront import outcomes
@@ -29,6 +30,7 @@
 KINDS = registry.Registry("admission kind")
 
 _WINDOW_S = 0.2
+_FLOW_WINDOW_S = 0.25
 _TARGET_SHARE = 0.25
 _SERVICE_TIME_WEIGHT = 0.1
 _MIN_QUEUE = 2
@@ -90,6 +92,12 @@
     def load(self, now_s: float) -> float:
         """Returns slots used and waited for, per slot."""
 
+    def busy(self) -> float:
+        """Returns the share of slots in use lately."""
+
+    def served(self, class_name: str, service_s: float) -> None:
+        """Learns how much slot time a call of a class takes."""
+
     def shed_by_backend(self, now_s: float) -> None:
         """Learns that the backend server itself refused."""
 
@@ -122,7 +130,7 @@
     ) -> Step:
         """Starts, queues or refuses a request."""
         if self._above_level(context):
-            return self._refuse_new(item_id, outcomes.Reason.OVERLOAD)
+            return self._refuse_new(item_id, outcomes.Reason.SHED)
         if context.remaining_s <= 0.0:
             return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
         self._count_admitted(context)
@@ -171,6 +179,13 @@
         """Returns slots used and waited for, per slot."""
         return (self.in_use + len(self._by_id)) / self._limit.current(now_s)
 
+    def busy(self) -> float:
+        """Returns 1.0: kinds without a level do not measure it."""
+        return 1.0
+
+    def served(self, class_name: str, service_s: float) -> None:
+        """Learns nothing: only kinds that follow the flow need it."""
+
     def shed_by_backend(self, now_s: float) -> None:
         """Lowers the limit below what was in use."""
         self._limit.shed_by_backend(self.in_use, now_s)
@@ -281,6 +296,10 @@
         """Returns the highest admitted priority number."""
         return self._control.level
 
+    def busy(self) -> float:
+        """Returns the share of slots in use, smoothed over windows."""
+        return self._control.busy
+
     def adopt(self, new: policy.AdmissionPolicy) -> None:
         """Takes changed parameters."""
         super().adopt(new)
@@ -320,6 +339,55 @@
         self._control.dropped(priority)
 
 
+@KINDS.register("flow")
+class FlowAdmission(LevelAdmission):
+    """Like `level`, with the level of a guard that is far from the entries."""
+
+    def __init__(
+        self,
+        admission_policy: policy.AdmissionPolicy,
+        limit: limits.ConcurrencyLimit,
+        now_s: float,
+    ):
+        super().__init__(admission_policy, limit, now_s)
+        self._flow = flow_level.FlowControl(_FLOW_WINDOW_S, now_s)
+        self._work_s: dict[str, float] = {}
+
+    def advance(self, now_s: float) -> Step:
+        """Also sets the level at the end of each window."""
+        step = _QueueAdmission.advance(self, now_s)
+        if self._flow.over(now_s):
+            self._flow.advance(self._limit.current(now_s), now_s)
+        return step
+
+    def level(self) -> int:
+        """Returns the highest admitted priority number."""
+        return self._flow.level
+
+    def busy(self) -> float:
+        """Returns the share of the slots that is spoken for."""
+        return self._flow.busy
+
+    def served(self, class_name: str, service_s: float) -> None:
+        """Learns how much slot time a call of a class takes."""
+        before_s = self._work_s.get(class_name, service_s)
+        learned_s = before_s + _SERVICE_TIME_WEIGHT * (service_s - before_s)
+        self._work_s[class_name] = learned_s
+
+    def _above_level(self, context: context_lib.RequestContext) -> bool:
+        return context.depth == 0 and context.priority > self._flow.level
+
+    def _count_admitted(self, context: context_lib.RequestContext) -> None:
+        work_s = self._work_s.get(context.class_name, self._service_s)
+        self._flow.arrived(context.priority, work_s)
+
+    def _waited(self, delay_s: float) -> None:
+        self._flow.waited(delay_s)
+
+    def _dropped(self, priority: int) -> None:
+        pass
+
+
 @KINDS.register("limit")
 class LimitAdmission(_QueueAdmission):
     """Baseline: a limit per hop, first come first served."""
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/flow_level.py
@@ -0,0 +1,129 @@
+"""A level that follows the flow of work, for guards far from the entries.
+
+Between a refusal at an entry and its effect on a deep service lie the layers in
+between: some tenths of a second. A control that looks at queues there is late
+twice, since a queue adds up what flowed in before: it cuts long after enough
+has been refused and opens long after room is there, and the service swings
+between idle and drowned. So this control looks at the flow itself: how much
+slot time the calls that arrive will take, beside the slot time there is.
+
+The level moves in proportion to what is missing or left, measured in the width
+of one rank, and in steps that are small beside the delay. It stops for a while
+at the border of a rank: what the lower rank needs is known only after the work
+that was let in before has left.
+"""
+
+from burdockfront import context
+from burdockfront import levels
+
+# The share of the slots that may be spoken for. Above, waits grow out of hand
+# with each burst; below, room stands idle that refused requests could use.
+_TARGET = 0.95
+# A standing wait of this takes a tenth off the target until it has gone.
+_FULL_WAIT_S = 0.08
+_WAIT_SHARE = 0.1
+_GAIN = 0.35
+_MOST_CUT = 0.2
+_MOST_RAISE = 0.2
+_SMOOTHING = 0.6
+_BORDER_HOLD_S = 1.0
+# Above the highest rank by this much it is open: levels near the top are then
+# numbers that can be averaged, not a jump.
+_HEADROOM = context.ORDINALS // 2
+_LEAST_LEVEL = context.ORDINALS // 8
+
+
+class FlowControl:
+    """The level of one guard.
+
+    Args:
+        window_s: How often the level is set.
+        now_s: The current time.
+    """
+
+    def __init__(self, window_s: float, now_s: float):
+        self._window_s = window_s
+        self._begin_s = now_s
+        self._level: float | None = None
+        self._work_s = 0.0
+        self._flow = 0.0
+        self._highest_rank = 1
+        self._shortest_wait_s: float | None = None
+        self._at_border_since_s: float | None = None
+
+    @property
+    def level(self) -> int:
+        """Highest priority number that is admitted now."""
+        return levels.OPEN if self._level is None else int(self._level)
+
+    @property
+    def busy(self) -> float:
+        """Share of the slots that is spoken for, smoothed."""
+        return self._flow
+
+    def arrived(self, priority: int, work_s: float) -> None:
+        """Counts a call that was let in.
+
+        Args:
+            priority: Its priority number.
+            work_s: Slot time that calls of its class take.
+        """
+        self._work_s += work_s
+        rank = priority // context.ORDINALS
+        self._highest_rank = max(self._highest_rank, rank)
+
+    def waited(self, delay_s: float) -> None:
+        """Records the wait of a call that got a slot."""
+        shortest_s = self._shortest_wait_s
+        if shortest_s is None or delay_s < shortest_s:
+            self._shortest_wait_s = delay_s
+
+    def over(self, now_s: float) -> bool:
+        """Whether the window is over and `advance` is due."""
+        return now_s - self._begin_s >= self._window_s
+
+    def advance(self, slots: int, now_s: float) -> None:
+        """Closes the window and sets the level.
+
+        Args:
+            slots: How many slots there are now.
+            now_s: The current time.
+        """
+        elapsed_s = max(1e-3, now_s - self._begin_s)
+        flow = self._work_s / (slots * elapsed_s)
+        self._flow += _SMOOTHING * (flow - self._flow)
+        wait_s = self._shortest_wait_s or 0.0
+        standing = min(1.0, wait_s / _FULL_WAIT_S)
+        missing = self._flow - (_TARGET - _WAIT_SHARE * standing)
+        self._move(-_GAIN * missing, now_s)
+        self._work_s = 0.0
+        self._shortest_wait_s = None
+        self._begin_s = now_s
+
+    def _move(self, share: float, now_s: float) -> None:
+        """Moves the level by a share of a rank's width."""
+        top = (self._highest_rank + 1) * context.ORDINALS
+        if self._level is None:
+            if share >= 0.0:
+                return
+            self._level = float(top)
+        step = max(-_MOST_CUT, min(_MOST_RAISE, share)) * context.ORDINALS
+        moved = max(float(_LEAST_LEVEL), self._level + step)
+        if step < 0.0:
+            moved = self._hold_at_border(moved, now_s)
+        else:
+            self._at_border_since_s = None
+        self._level = None if moved >= top + _HEADROOM else moved
+
+    def _hold_at_border(self, moved: float, now_s: float) -> float:
+        """Returns where a falling level comes to lie now."""
+        assert self._level is not None
+        border = float(int(self._level) // context.ORDINALS * context.ORDINALS)
+        if moved > border or border == 0.0:
+            return moved
+        if self._at_border_since_s is None:
+            self._at_border_since_s = now_s
+        if now_s - self._at_border_since_s < _BORDER_HOLD_S:
+            return border
+        self._at_border_since_s = None
+        return moved
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -86,6 +86,11 @@
         """Highest priority number that is admitted now."""
         return self._level
 
+    @property
+    def busy(self) -> float:
+        """Share of the slots in use, smoothed over windows."""
+        return self._busy
+
     def set_target(self, target_s: float) -> None:
         """Takes the target from a changed policy."""
         self._target_s = target_s
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -29,6 +29,7 @@
     """
 
     OVERLOAD = "overload"
+    SHED = "shed"
     OVERLOAD_DEEPER = "overload-deeper"
     DEADLINE = "deadline"
     DRAINING = "draining"
@@ -90,6 +91,7 @@
 
 _STATUS_OF_REASON = {
     Reason.OVERLOAD: 503,
+    Reason.SHED: 503,
     Reason.OVERLOAD_DEEPER: 503,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
--- a/packages/burdockfront/src/burdockfront/policy.py
+++ b/packages/burdockfront/src/burdockfront/policy.py
@@ -65,7 +65,8 @@
     """How a guard protects its backend server.
 
     Attributes:
-        kind: `level` (priority level, also upstream), `limit` (concurrency
+        kind: `level` (priority level, also upstream), `flow` (the same for
+            guards that are several layers from the entries), `limit` (concurrency
             limit with a queue, first come first served) or `none`.
         queue_s: Longest useful wait for a slot.
         ramp_s: Time from a cold start to full use.
@@ -122,7 +123,7 @@
 
 
 class _AdmissionModel(_Model):
-    kind: Literal["level", "limit", "none"] = "level"
+    kind: Literal["level", "flow", "limit", "none"] = "level"
     queue_s: float = pydantic.Field(default=0.25, gt=0.0, le=10.0)
     ramp_s: float = pydantic.Field(default=3.0, ge=0.0, le=600.0)
 
