--- a/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
@@ -145,7 +145,9 @@
     try:
         address = orjson.loads(item.value)["address"]
     except (orjson.JSONDecodeError, KeyError, TypeError):
-        _LOG.warning("a key of the directory can't be read; remove it",
-                     extra={"key": item.key})
+        _LOG.warning(
+            "a key of the directory can't be read; remove it",
+            extra={"key": item.key},
+        )
         return None
     return address if isinstance(address, str) else None
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exposition.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exposition.py
@@ -13,6 +13,7 @@
 from starlette import responses
 from starlette import routing
 
+from burdockfront_node.controllers import latencies as latencies_lib
 from burdockfront_node.controllers import metrics as metrics_lib
 from burdockfront_node.internal import event_log
 
@@ -25,17 +26,21 @@
 
     Args:
         metrics: What is counted.
+        latencies: What is measured.
         log: For the lines that it left out.
     """
 
     def __init__(
-        self, metrics: metrics_lib.Metrics, log: event_log.EventLog
+        self,
+        metrics: metrics_lib.Metrics,
+        latencies: latencies_lib.Latencies,
+        log: event_log.EventLog,
     ):
         self._metrics = metrics
         self._log = log
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(self)
-        for histogram in metrics.histograms():
+        for histogram in latencies.all():
             self._registry.register(histogram)
         self.app = applications.Starlette(
             routes=[routing.Route(PATH, self._serve)]
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
@@ -64,7 +64,9 @@
         told = (current.instance_id, current.leaving)
         if told != self._told:
             self._told = told
-            kind = "backend.leaving" if current.leaving else "backend.in-service"
+            kind = (
+                "backend.leaving" if current.leaving else "backend.in-service"
+            )
             self._record(kind, current.instance_id, current.sequence)
         self._backends.announce(
             backend_lib.Announcement(
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -10,7 +10,6 @@
 import resource
 from typing import Protocol
 
-import prometheus_client
 import statsd
 
 from burdockfront_client import dispatcher as dispatcher_lib
@@ -19,18 +18,6 @@
 from burdockfront_node.controllers import exchange as exchange_lib
 
 _KIB = 1024
-_LATENCIES_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-
-
-def _histogram(name: str, text: str) -> prometheus_client.Histogram:
-    """Returns a histogram that belongs to no registry yet."""
-    return prometheus_client.Histogram(
-        f"burdockfront_{name}",
-        text,
-        ["outcome"],
-        buckets=_LATENCIES_S,
-        registry=None,
-    )
 
 
 class StoreCounters(Protocol):
@@ -62,16 +49,6 @@
         self._exchange = exchange
         self._platform = platform
         self._sent: dict[str, int] = {}
-        self.entry_s = _histogram(
-            "entry_seconds", "From a caller's request to its final answer."
-        )
-        self.backend_s = _histogram(
-            "backend_seconds", "From hand-over to the backend server's answer."
-        )
-
-    def histograms(self) -> list[prometheus_client.Histogram]:
-        """Returns all histograms."""
-        return [self.entry_s, self.backend_s]
 
     def counters(self) -> dict[str, int]:
         """Returns all counters since the start."""
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -127,9 +127,7 @@
         """Takes the version in force at a peer."""
         fetching = self._fetching is not None and not self._fetching.done()
         if version > self._book.version and not fetching:
-            self._fetching = asyncio.create_task(
-                self._fetch(address, version)
-            )
+            self._fetching = asyncio.create_task(self._fetch(address, version))
 
     async def ask_peers(self, addresses: list[str]) -> bool:
         """Asks peers one after the other until one knows a table."""
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
@@ -314,8 +314,7 @@
             )
         case 412:
             raise ConditionError(
-                "somebody else changed the key first; read it and decide "
-                "again."
+                "somebody else changed the key first; read it and decide again."
             )
 
 
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -31,6 +31,7 @@
 from burdockfront_node.controllers import backends as backends_lib
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import joining as joining_lib
+from burdockfront_node.controllers import latencies as latencies_lib
 from burdockfront_node.controllers import metrics as metrics_lib
 from burdockfront_node.controllers import peer_link
 from burdockfront_node.controllers import platform as platform_lib
@@ -65,11 +66,12 @@
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._log = event_log.EventLog()
+        self._latencies = latencies_lib.Latencies()
         self._recorder = timeline.Recorder(
             settings.node_id,
             settings.data_center,
             settings.events,
-            self._log.write_event,
+            self._on_event,
         )
         self._keys = keyring_lib.KeyRing(
             settings.peer_keys, open_ring=not settings.peer_keys
@@ -120,6 +122,10 @@
             self._on_routes,
         )
 
+    def _on_event(self, event: timeline.Event) -> None:
+        self._log.write_event(event)
+        self._latencies.observe(event)
+
     def _routes_version(self) -> int:
         """Returns the version of the routes in force; -1 without any."""
         return -1
--- a/packages/burdockfront-node/src/burdockfront_node/internal/event_log.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/event_log.py
@@ -71,9 +71,7 @@
         """Writes what waits, as far as the reader takes it."""
         self._flush = None
         if self.dropped > self._dropped_told:
-            self._append(
-                {"kind": "log.dropped", "lines": self.dropped}
-            )
+            self._append({"kind": "log.dropped", "lines": self.dropped})
             self._dropped_told = self.dropped
         try:
             written = os.write(self._descriptor, self._waiting)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -160,7 +160,9 @@
             self._backends,
             self._recorder,
         )
-        exposition = exposition_lib.Exposition(self._metrics, self._log)
+        exposition = exposition_lib.Exposition(
+            self._metrics, self._latencies, self._log
+        )
         return [
             servers.Listener(
                 entry, settings.caller_address, lambda: self._book.limits
@@ -269,4 +271,3 @@
             listener.close()
         self._exchange.leave()
         await self._directory.leave()
-
--- a/packages/burdockfront-node/src/burdockfront_node/servers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
@@ -116,7 +117,7 @@
 
     def on_response_complete(self) -> None:
         """Takes the idle time that is in force now."""
-        self.timeout_keep_alive = self._limits_of().idle_timeout_s
+        self.timeout_keep_alive = math.ceil(self._limits_of().idle_timeout_s)
         super().on_response_complete()
 
     def _wait_idle(self) -> None:
@@ -219,6 +220,7 @@
         app,
         host=host.strip("[]"),
         port=int(port),
+        interface="asgi3",
         http="httptools",
         ws="none",
         lifespan="off",
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -124,7 +124,6 @@
         default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
     )
 
-
     @pydantic.model_validator(mode="after")
     def _check_keys(self) -> "NodeSettings":
         """Keys may be missing only where callers can't reach the nodes."""
--- a/packages/burdockfront/src/burdockfront/context.py
+++ b/packages/burdockfront/src/burdockfront/context.py
@@ -95,9 +95,7 @@
     payload, _, tag = value.rpartition(".")
     if not keys.verify(payload.encode(), tag):
         raise errors.ForgedContextError()
-    context = RequestContext(
-        *orjson.loads(keys.unpack(payload))
-    )
+    context = RequestContext(*orjson.loads(keys.unpack(payload)))
     if context.depth > MAX_DEPTH:
         raise errors.InvalidInputError(
             f"expected a chain of at most {MAX_DEPTH} calls, got "
--- a/packages/burdockfront/src/burdockfront/flow_level.py
+++ b/packages/burdockfront/src/burdockfront/flow_level.py
@@ -7,12 +7,16 @@
 between idle and drowned. So this control looks at the flow itself: how much
 slot time the calls that arrive will take, beside the slot time there is.
 
-The level moves in proportion to what is missing or left, measured in the width
-of one rank, and in steps that are small beside the delay. It stops for a while
-at the border of a rank: what the lower rank needs is known only after the work
-that was let in before has left.
+What arrives now follows from the level of some windows ago, so that level is
+corrected, in proportion to what is missing or left and measured in the width of
+one rank, and the present one moves towards the result. Corrections that have
+not taken effect yet are then not made a second time. The level stops for a
+while at the border of a rank: what the lower rank needs is known only after the
+work that was let in before has left.
 """
 
+import collections
+
 from burdockfront import context
 from burdockfront import levels
 
@@ -22,10 +26,19 @@
 # A standing wait of this takes a tenth off the target until it has gone.
 _FULL_WAIT_S = 0.08
 _WAIT_SHARE = 0.1
-_GAIN = 0.35
-_MOST_CUT = 0.2
+# What a whole rank of requests adds to the flow of a pressed service, about;
+# one that adds half or twice as much only settles slower.
+_RANK_FLOW = 2.0
+# How far the level moves at once towards where it should have been.
+_STEP_SHARE = 0.4
+# Where half of the slots are idle there is no doubt: it opens at this pace.
+_IDLE_FLOW = 0.5
+_IDLE_RAISE = 0.15
+_MOST_CUT = 0.25
 _MOST_RAISE = 0.2
-_SMOOTHING = 0.6
+# Windows until a refusal at the entries shows here: three or four layers, and
+# as many answers on which the level travels.
+_DELAY_WINDOWS = 2
 _BORDER_HOLD_S = 1.0
 # Above the highest rank by this much it is open: levels near the top are then
 # numbers that can be averaged, not a jump.
@@ -48,6 +61,10 @@
         self._work_s = 0.0
         self._flow = 0.0
         self._highest_rank = 1
+        # Levels of the last windows, the oldest one first.
+        self._caused_by: collections.deque[float] = collections.deque(
+            maxlen=_DELAY_WINDOWS + 1
+        )
         self._shortest_wait_s: float | None = None
         self._at_border_since_s: float | None = None
 
@@ -58,7 +75,7 @@
 
     @property
     def busy(self) -> float:
-        """Share of the slots that is spoken for, smoothed."""
+        """Share of the slots that the calls of the last window take."""
         return self._flow
 
     def arrived(self, priority: int, work_s: float) -> None:
@@ -91,22 +108,28 @@
         """
         elapsed_s = max(1e-3, now_s - self._begin_s)
         flow = self._work_s / (slots * elapsed_s)
-        self._flow += _SMOOTHING * (flow - self._flow)
+        self._flow = flow
         wait_s = self._shortest_wait_s or 0.0
         standing = min(1.0, wait_s / _FULL_WAIT_S)
-        missing = self._flow - (_TARGET - _WAIT_SHARE * standing)
-        self._move(-_GAIN * missing, now_s)
+        excess = flow - (_TARGET - _WAIT_SHARE * standing)
+        self._move(excess, now_s)
         self._work_s = 0.0
         self._shortest_wait_s = None
         self._begin_s = now_s
 
-    def _move(self, share: float, now_s: float) -> None:
-        """Moves the level by a share of a rank's width."""
+    def _move(self, excess: float, now_s: float) -> None:
+        """Moves the level towards where the excess would have been none."""
         top = (self._highest_rank + 1) * context.ORDINALS
         if self._level is None:
-            if share >= 0.0:
+            if excess <= 0.0:
                 return
             self._level = float(top)
+            self._caused_by.clear()
+        self._caused_by.append(self._level)
+        wanted = self._caused_by[0] - excess / _RANK_FLOW * context.ORDINALS
+        share = (wanted - self._level) * _STEP_SHARE / context.ORDINALS
+        if excess < _IDLE_FLOW - _TARGET:
+            share = max(share, _IDLE_RAISE)
         step = max(-_MOST_CUT, min(_MOST_RAISE, share)) * context.ORDINALS
         moved = max(float(_LEAST_LEVEL), self._level + step)
         if step < 0.0:
--- a/packages/burdockfront/src/burdockfront/pace.py
+++ b/packages/burdockfront/src/burdockfront/pace.py
@@ -5,7 +5,8 @@
 slow ones may miss their time limit on every deep request while all is well
 elsewhere. So a router keeps, for each server, how long its answers take beside
 what is typical for the class of request, and for each service how many answers
-come too late. While few do, work stays near; the more do, the more speed counts.
+come too late. While few do, work stays near; the more do, the more speed
+counts.
 
 A server that was not tried yet is taken for a quick one in proportion to the
 hurry, or nobody would ever find out.
--- a/packages/burdockfront/src/burdockfront/policy.py
+++ b/packages/burdockfront/src/burdockfront/policy.py
@@ -66,8 +66,8 @@
 
     Attributes:
         kind: `level` (priority level, also upstream), `flow` (the same for
-            guards that are several layers from the entries), `limit` (concurrency
-            limit with a queue, first come first served) or `none`.
+            guards several layers from the entries), `limit` (concurrency limit
+            with a queue, first come first served) or `none`.
         queue_s: Longest useful wait for a slot.
         ramp_s: Time from a cold start to full use.
     """
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -1,10 +1,11 @@
 """Which backend server gets a call.
 
-Work stays in its own data centre while that has room (see
-`Router._nearest_with_room`). Two candidates are drawn at random and the better one is taken: with many
-routers that each see only a part of the load, "the best of all" would send
-all of them to the same server at once. Better means fewer calls of ours in
-flight plus the load that its guard told on its last answer, per slot.
+Work stays in its own data centre while that is worth it (see
+`Router._nearest_with_room`). Two candidates are drawn at random and the better
+one is taken: with many routers that each see only a part of the load, "the best
+of all" would send all of them to the same server at once. Better means fewer
+calls of ours in flight plus the load that its guard told on its last answer,
+per slot.
 
 What is trusted: calls in flight are our own count. The load on an answer was
 counted by the guard, not reported by the backend server, and fades with age.
--- a/packages/burdockfront/src/burdockfront/starvation.py
+++ b/packages/burdockfront/src/burdockfront/starvation.py
@@ -24,10 +24,12 @@
 _LEAST_HEARD = 20
 # New work enters beside this share of the services at least.
 _NEW_WORK_SHARE = 0.6
-_SHARE_WEIGHT = 0.05
-# A few in a hundred requests fail for reasons of their own while somebody
-# else's calls are refused; above this share it is no coincidence.
-_CAUSE_SHARE = 0.06
+# Two in a hundred requests may fail for reasons of their own while somebody
+# else's calls are refused. With this weight such chances stay below the share
+# by four times their spread, and a class of which a third starves is found out
+# within some fifteen requests.
+_SHARE_WEIGHT = 0.02
+_CAUSE_SHARE = 0.08
 _REMEMBERED = 64
 
 
@@ -102,4 +104,6 @@
     def causes(self, class_name: str) -> list[Child]:
         """Returns the calls on which a class depends, as far as is known."""
         shares = self._shares.get(class_name, {})
-        return [child for child, share in shares.items() if share > _CAUSE_SHARE]
+        return [
+            child for child, share in shares.items() if share > _CAUSE_SHARE
+        ]
--- /dev/null
+++ b/tests/unit/test_flow_level.py
@@ -0,0 +1,100 @@
+"""The level of a deep guard, in a closed loop with its delay.
+
+The pattern is an evening wave at a deep service: demand of browsing at 1.2 to
+2.5 times what is left beside confirmations, and a delay of two windows between
+a refusal at the entry and its effect, as four layers cause it.
+"""
+
+import collections
+import random
+
+import pytest
+
+from burdockfront import context
+from burdockfront import flow_level
+from burdockfront import levels
+
+_WINDOW_S = 0.25
+_DELAY_WINDOWS = 2
+_SLOTS = 8
+_WORK_S = 0.03
+_CONFIRM_SHARE = 0.4
+
+
+class _Loop:
+    """Calls per window that follow the level of two windows ago."""
+
+    def __init__(self, seed: int):
+        self.control = flow_level.FlowControl(_WINDOW_S, 0.0)
+        self._rng = random.Random(seed)
+        self._told = collections.deque(
+            [levels.OPEN] * _DELAY_WINDOWS, maxlen=_DELAY_WINDOWS
+        )
+        self._now_s = 0.0
+
+    def window(self, browse_share: float) -> float:
+        """Plays one window; returns the flow that arrived, per slot."""
+        level = self._told[0]
+        self._told.append(self.control.level)
+        capacity = _SLOTS * _WINDOW_S / _WORK_S
+        arrived = 0
+        for _ in range(int(capacity * _CONFIRM_SHARE)):
+            self.control.arrived(100, _WORK_S)
+            arrived += 1
+        for _ in range(int(capacity * browse_share)):
+            priority = 2 * context.ORDINALS + self._rng.randrange(256)
+            if priority <= level:
+                self.control.arrived(priority, _WORK_S)
+                arrived += 1
+        self._now_s += _WINDOW_S
+        self.control.advance(_SLOTS, self._now_s)
+        return arrived / capacity
+
+
+@pytest.mark.parametrize("browse_share", [0.8, 1.2, 2.0])
+def test_flow_settles_near_what_the_slots_can_do(browse_share):
+    loop = _Loop(seed=1)
+    for _ in range(16):
+        loop.window(browse_share)
+    flows = [loop.window(browse_share) for _ in range(60)]
+    used = sum(min(1.0, flow) for flow in flows) / len(flows)
+    assert used > 0.92, "no room is left idle"
+    assert sum(flows) / len(flows) < 1.0, "no more is let in than fits"
+    assert max(flows) < 1.4, "no swings between idle and drowned"
+
+
+def test_confirmations_are_not_refused_while_browsing_can_be():
+    # All of the excess is browsing. On the way down the work that was let in
+    # before still arrives, and must not push the level into the rank of
+    # confirmations.
+    loop = _Loop(seed=2)
+    for _ in range(60):
+        loop.window(2.0)
+        assert loop.control.level >= context.ORDINALS
+
+
+def test_confirmations_are_refused_when_they_alone_are_too_many():
+    control = flow_level.FlowControl(_WINDOW_S, 0.0)
+    for number in range(60):
+        for _ in range(200):
+            control.arrived(100, _WORK_S)
+        control.advance(_SLOTS, (number + 1) * _WINDOW_S)
+    assert control.level < context.ORDINALS
+
+
+def test_level_opens_within_seconds_of_the_end():
+    loop = _Loop(seed=3)
+    for _ in range(40):
+        loop.window(2.0)
+    windows = 0
+    while loop.control.level < levels.OPEN:
+        loop.window(0.1)
+        windows += 1
+    assert windows * _WINDOW_S <= 3.0
+
+
+def test_level_is_open_without_pressure():
+    loop = _Loop(seed=4)
+    for _ in range(40):
+        loop.window(0.4)
+    assert loop.control.level == levels.OPEN
