--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -37,6 +37,7 @@
         call: The call to dispatch, once it is known.
         caller_request_id: Id that the caller gave, where routes want one.
         caller_waits_s: How long the caller said it will wait.
+        routes_version: Version of the table that its route was found in.
     """
 
     request: asgi.Request
@@ -51,6 +52,7 @@
     call: calls.Call | None = None
     caller_request_id: str = ""
     caller_waits_s: float | None = None
+    routes_version: int = -1
 
     @property
     def request_id(self) -> str:
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -91,6 +91,7 @@
         units = max(0, route.max_attempts - 1)
         idempotent = route.repeat is routes.Repeat.IDEMPOTENT
         request = entry.request
+        entry.routes_version = self._book.version
         entry.service = found.service
         entry.target = request.target
         entry.context = context_lib.RequestContext(
--- a/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/trace.py
@@ -42,6 +42,8 @@
             reason=answer.reason.value if answer.reason else "",
             status=answer.status,
             trail=entry.call.trail if entry.call else [],
+            starved=answer.starved,
+            routes=entry.routes_version,
             elapsed_s=round(time.monotonic() - started_s, 4),
         )
         return answer
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -256,6 +256,7 @@
 
     async def _admit(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Waits for a slot; returns a refusal, or None with a slot."""
+        arrived_s = time.monotonic()
         refusal = self._unwilling(attempt)
         if refusal is None:
             assert self._gate is not None
@@ -264,7 +265,8 @@
             refusal = await self._gate.enter(attempt.context)
         if refusal is None:
             return None
-        return self._refused(attempt, refusal)
+        waited_s = time.monotonic() - arrived_s
+        return self._refused(attempt, refusal, waited_s)
 
     def _unwilling(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Returns a refusal that does not depend on slots."""
@@ -333,6 +335,8 @@
             attempt,
             outcome=answer.outcome.value,
             status=answer.status,
+            reason=answer.reason.value if answer.reason else "",
+            starved=answer.starved,
             service_s=round(service_s, 4),
         )
         return answer
@@ -359,15 +363,27 @@
             self._gate.shed_by_backend()
 
     def _refused(
-        self, attempt: calls.Attempt, refusal: outcomes.Answer
+        self,
+        attempt: calls.Attempt,
+        refusal: outcomes.Answer,
+        waited_s: float,
     ) -> outcomes.Answer:
         self._counters.refused += 1
+        context = attempt.context
         self._record(
             "call.refused",
             attempt,
             reason=refusal.reason.value if refusal.reason else "",
-            priority=attempt.context.priority,
+            priority=context.priority,
             level=self.level(),
+            path_level=self._dispatcher.book.path_level(
+                context.class_name, time.monotonic()
+            ),
+            new_work=context.depth == 0,
+            in_flight=self.in_flight,
+            slots=self.slots,
+            waited_s=round(waited_s, 4),
+            remaining_s=round(context.remaining_s, 3),
         )
         unspent = attempt.context.allowance
         return dataclasses.replace(refusal, unspent=unspent)
