A backend server's own refusals no longer take its slots away here

Ruled out: the level's pace alone (flow read 0.0 to 8.4 in turn). Also: a server that refuses or loses answers is avoided like a slow one, and a level opens faster over idle slots.

--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -25,6 +25,14 @@
 _ANSWER_MARGIN_S = 0.02
 _SERVER_ERROR = 500
 _TIMEOUT_STATUS = 504
+# Of the backend server, not of the load.
+_FAULTS = frozenset(
+    [
+        outcomes.Reason.REJECTED,
+        outcomes.Reason.UNREACHABLE,
+        outcomes.Reason.LOST_ANSWER,
+    ]
+)
 # An error after so much of its time is one for lack of time.
 _USED_UP_SHARE = 0.8
 
@@ -213,9 +221,11 @@
         answer: outcomes.Answer,
         elapsed_s: float,
     ) -> None:
+        pace = self._router.pace
+        if answer.reason in _FAULTS:
+            pace.failed(target.node_id)
         if answer.outcome is outcomes.Outcome.NOT_RUN:
             return
-        pace = self._router.pace
         good = (
             answer.outcome is outcomes.Outcome.DONE
             and answer.status < _SERVER_ERROR
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -45,11 +45,16 @@
         moves_tickets: Whether a ticket of a leaving backend server may move
             to another owner. Where entries keep their tickets to themselves,
             a plain refusal lets them go elsewhere with a new one.
+        refusals_lower_slots: Whether a backend server that refuses has fewer
+            slots than it says. Not where it is told by the place how many it
+            has: one that refuses half of everything, whatever its load, would
+            be left with a single slot, and get the others back one a second.
     """
 
     drain_grace_s: float = 2.0
     stall_floor_s: float = 0.5
     moves_tickets: bool = True
+    refusals_lower_slots: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -359,7 +364,8 @@
             self._stalls.gave_up()
             return
         self._stalls.answered(service_s, time.monotonic())
-        if answer.reason is outcomes.Reason.REJECTED:
+        refused = answer.reason is outcomes.Reason.REJECTED
+        if refused and self._rules.refusals_lower_slots:
             self._gate.shed_by_backend()
 
     def _refused(
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -120,6 +120,7 @@
             drain_grace_s=0.0,
             stall_floor_s=_STALL_FLOOR_S,
             moves_tickets=False,
+            refusals_lower_slots=False,
         )
 
     def _new_backends(self) -> backends_lib.Backends:
--- a/packages/burdockfront/src/burdockfront/flow_level.py
+++ b/packages/burdockfront/src/burdockfront/flow_level.py
@@ -31,11 +31,12 @@
 _RANK_FLOW = 2.0
 # How far the level moves at once towards where it should have been.
 _STEP_SHARE = 0.4
-# Where half of the slots are idle there is no doubt: it opens at this pace.
+# Where half of the slots are idle there is no doubt: it opens at this pace, and
+# at four times that where all are.
 _IDLE_FLOW = 0.5
 _IDLE_RAISE = 0.15
+_ALL_IDLE_RAISE = 0.6
 _MOST_CUT = 0.25
-_MOST_RAISE = 0.2
 # Windows until a refusal at the entries shows here: three or four layers, and
 # as many answers on which the level travels.
 _DELAY_WINDOWS = 2
@@ -128,9 +129,10 @@
         self._caused_by.append(self._level)
         wanted = self._caused_by[0] - excess / _RANK_FLOW * context.ORDINALS
         share = (wanted - self._level) * _STEP_SHARE / context.ORDINALS
-        if excess < _IDLE_FLOW - _TARGET:
-            share = max(share, _IDLE_RAISE)
-        step = max(-_MOST_CUT, min(_MOST_RAISE, share)) * context.ORDINALS
+        if self._flow < _IDLE_FLOW:
+            idle = 1.0 - self._flow / _IDLE_FLOW
+            share = _IDLE_RAISE + idle * (_ALL_IDLE_RAISE - _IDLE_RAISE)
+        step = max(-_MOST_CUT, min(_ALL_IDLE_RAISE, share)) * context.ORDINALS
         moved = max(float(_LEAST_LEVEL), self._level + step)
         if step < 0.0:
             moved = self._hold_at_border(moved, now_s)
--- a/packages/burdockfront/src/burdockfront/pace.py
+++ b/packages/burdockfront/src/burdockfront/pace.py
@@ -51,6 +51,18 @@
         before = self._relative.get(node_id, sample)
         self._relative[node_id] = before + _SPEED_WEIGHT * (sample - before)
 
+    def failed(self, node_id: str) -> None:
+        """Learns that a server refused, or that its answer was lost.
+
+        It counts as the slowest answer there is: a server that fails a part
+        of its requests while it looks healthy is avoided like a slow one, in
+        proportion to the part.
+        """
+        before = self._relative.get(node_id, 1.0)
+        self._relative[node_id] = before + _SPEED_WEIGHT * (
+            _MOST_SAMPLE - before
+        )
+
     def in_time(self, service: str, late: bool) -> None:
         """Learns whether an answer, of whatever kind, was in time."""
         known = self._services.setdefault(service, _Service())
