--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -37,8 +37,10 @@
 _FAR_TRIED = 2
 # What a way to another data centre must gain at least: a few times the way
 # itself. Under pressure all are pressed, and for less than this work would
-# only change places. While answers come in time, a typical answer's time more.
+# only change places. While answers come in time, a typical answer's time more;
+# in a hurry this share of it: smaller differences are chance.
 _FAR_S = 0.015
+_HURRIED_SHARE = 0.3
 _UNKNOWN_S = 0.05
 
 
@@ -285,7 +287,8 @@
         gained_s = self._expected_s(best, typical_s, now_s)
         gained_s -= self._expected_s(other, typical_s, now_s)
         calm = 1.0 - self.pace.hurry(service)
-        price_s = _FAR_S + calm * typical_s
+        share = _HURRIED_SHARE + calm * (1.0 - _HURRIED_SHARE)
+        price_s = _FAR_S + share * typical_s
         return other if gained_s > price_s else best
 
     def _expected_s(
