--- /dev/null
+++ b/tests/unit/test_event_log.py
@@ -0,0 +1,88 @@
+"""Lines on standard output: bounded, and never waited for."""
+
+import asyncio
+import os
+
+import orjson
+
+from burdockfront import timeline
+from burdockfront_node.internal import event_log
+
+
+def _event(kind: str, request: str = "", **detail: object) -> timeline.Event:
+    return timeline.Event(1 << 16, "n1", "dc1", kind, request, detail)
+
+
+def _lines(descriptor: int) -> list[dict[str, object]]:
+    os.set_blocking(descriptor, False)
+    data = b""
+    try:
+        while part := os.read(descriptor, 65_536):
+            data += part
+    except BlockingIOError:
+        pass
+    return [orjson.loads(line) for line in data.splitlines()]
+
+
+def test_event_is_one_line_with_what_decided():
+    async def scenario() -> None:
+        reading, writing = os.pipe()
+        log = event_log.EventLog(writing)
+        log.write_event(_event("call.refused", "r-1", level=300, slots=8))
+        log.flush()
+        (line,) = _lines(reading)
+        assert line["kind"] == "call.refused"
+        assert line["request"] == "r-1"
+        assert line["level"] == 300
+        assert line["node"] == "n1"
+
+    asyncio.run(scenario())
+
+
+def test_steps_that_another_line_repeats_are_not_printed():
+    async def scenario() -> None:
+        reading, writing = os.pipe()
+        log = event_log.EventLog(writing)
+        log.write_event(_event("entry.accepted", "r-1"))
+        log.write_event(_event("entry.answered", "r-1", outcome="done"))
+        log.flush()
+        assert [line["kind"] for line in _lines(reading)] == ["entry.answered"]
+
+    asyncio.run(scenario())
+
+
+def test_flood_of_successes_leaves_room_for_a_failure():
+    # Thousands of requests a second are served and one is lost. Its line is
+    # the one that somebody will look for.
+    async def scenario() -> None:
+        reading, writing = os.pipe()
+        log = event_log.EventLog(writing)
+        for number in range(2000):
+            log.write_event(
+                _event("entry.answered", f"r-{number}", outcome="done")
+            )
+        log.write_event(_event("entry.answered", "lost", outcome="unknown"))
+        log.flush()
+        lines = _lines(reading)
+        assert any(line.get("request") == "lost" for line in lines)
+        assert len(lines) < 400
+        assert lines[-1] == {"kind": "log.dropped", "lines": log.dropped}
+        assert log.dropped >= 1600
+
+    asyncio.run(scenario())
+
+
+def test_reader_that_does_not_read_blocks_nobody():
+    async def scenario() -> None:
+        reading, writing = os.pipe()
+        log = event_log.EventLog(writing)
+        wide = "x" * 4000
+        for number in range(290):
+            log.write_event(_event("member.alive", f"r-{number}", text=wide))
+        log.flush()
+        log.flush()
+        assert log.dropped > 0, "what waits is bounded"
+        os.close(reading)
+        log.flush()
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/unit/test_ways.py
@@ -0,0 +1,108 @@
+"""Near or far: when work leaves its data centre."""
+
+import random
+
+from burdockfront import pace
+from burdockfront import routing
+from tests import builders
+
+_CLASS = "rule"
+
+
+def _router() -> routing.Router:
+    router = routing.Router("dc1", random.Random(3))
+    near = builders.a_target("near", data_center="dc1", slots=8)
+    far = builders.a_target("far", data_center="dc2", slots=8)
+    router.update([near, far])
+    return router
+
+
+def _far_share(router: routing.Router, now_s: float = 1.0) -> float:
+    chosen = [
+        router.choose("fees", frozenset(), now_s, class_name=_CLASS)
+        for _ in range(100)
+    ]
+    return sum(target.node_id == "far" for target in chosen) / len(chosen)
+
+
+def _answers(
+    router: routing.Router, near_s: float, far_s: float, late: bool = False
+) -> None:
+    for _ in range(200):
+        router.pace.answered("fees", "near", _CLASS, near_s)
+        router.pace.answered("fees", "far", _CLASS, far_s)
+        router.pace.in_time("fees", late)
+
+
+def test_work_stays_near_though_all_slots_there_are_in_use():
+    # A wait of one call is cheaper than the way.
+    router = _router()
+    _answers(router, 0.03, 0.03)
+    router.answered("near", 1.1, False, 1.0)
+    assert _far_share(router) == 0.0
+
+
+def test_work_leaves_a_data_centre_that_drowns():
+    # Its only server of the deepest service has a queue of several rounds,
+    # and the next data centre is idle.
+    router = _router()
+    _answers(router, 0.03, 0.03)
+    router.answered("near", 5.0, False, 1.0)
+    assert _far_share(router) == 1.0
+
+
+def test_slow_server_is_good_enough_while_answers_come_in_time():
+    router = _router()
+    _answers(router, 0.05, 0.03)
+    assert _far_share(router) == 0.0
+
+
+def test_slow_server_is_left_for_a_quick_one_once_answers_come_too_late():
+    # The slow servers of one data centre take twice as long; nobody is
+    # overloaded, and every deep request there misses its time limit.
+    router = _router()
+    _answers(router, 0.5, 0.2, late=True)
+    assert _far_share(router) == 1.0
+
+
+def test_small_differences_move_nothing_even_in_a_hurry():
+    router = _router()
+    _answers(router, 0.034, 0.030, late=True)
+    assert _far_share(router) == 0.0
+
+
+def test_server_that_refuses_half_of_its_requests_is_avoided():
+    # Its health check is good and it answers quickly. Each refusal costs a
+    # request that is sent on, or one of many calls of a whole request.
+    router = _router()
+    _answers(router, 0.1, 0.1)
+    for _ in range(40):
+        router.pace.failed("near")
+        router.pace.answered("fees", "near", _CLASS, 0.1)
+    assert _far_share(router) == 1.0
+
+
+def test_server_is_not_avoided_for_ever():
+    book = pace.PaceBook()
+    for _ in range(40):
+        book.failed("near")
+    before = book.relative("fees", "near")
+    for _ in range(60):
+        book.answered("fees", "near", _CLASS, 0.1)
+    assert before > 3.0
+    assert book.relative("fees", "near") < 1.2
+
+
+def test_untried_server_is_tried_in_a_hurry():
+    book = pace.PaceBook()
+    assert book.relative("fees", "new") == 1.0
+    for _ in range(200):
+        book.in_time("fees", late=True)
+    assert book.relative("fees", "new") < 1.0
+
+
+def test_server_that_is_gone_is_forgotten():
+    router = _router()
+    _answers(router, 0.5, 0.2)
+    router.update([])
+    assert router.pace.relative("fees", "near") == 1.0
