--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of test data: small, composable, with telling defaults."""
 
+import random
+
 from burdockfront import admission
 from burdockfront import context
 from burdockfront import incarnations
@@ -11,6 +13,8 @@
 from burdockfront import routes
 from burdockfront import routing
 from burdockfront import tickets
+from burdockfront import timeline
+from burdockfront_client import dispatcher
 
 KEY = "a-key-for-tests-0123456789"
 
@@ -118,3 +122,17 @@
         warm_in_s=0.0,
         sequence=sequence,
     )
+
+
+def a_dispatcher(
+    recorder: timeline.Recorder | None = None,
+) -> dispatcher.Dispatcher:
+    return dispatcher.Dispatcher(
+        "n1",
+        "dc1",
+        a_key_ring(),
+        policy.default,
+        recorder or timeline.Recorder("n1", "dc1", 100),
+        900.0,
+        random.Random(1),
+    )
--- a/tests/unit/test_guard.py
+++ b/tests/unit/test_guard.py
@@ -1,7 +1,6 @@
 """The guard's refusals that do not depend on slots."""
 
 import asyncio
-import random
 import time
 
 from burdockfront import allowance
@@ -11,7 +10,6 @@
 from burdockfront import timeline
 from burdockfront_client import attempts
 from burdockfront_client import calls
-from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_node import backend
 from burdockfront_node import guard as guard_lib
 from tests import builders
@@ -19,15 +17,7 @@
 
 def _a_guard(ready: asyncio.Event) -> guard_lib.Guard:
     recorder = timeline.Recorder("n1", "dc1", 10)
-    dispatcher = dispatcher_lib.Dispatcher(
-        "n1",
-        "dc1",
-        builders.a_key_ring(),
-        policy.default,
-        recorder,
-        900.0,
-        random.Random(1),
-    )
+    dispatcher = builders.a_dispatcher(recorder)
     return guard_lib.Guard(
         "n1",
         ledger.Ledger("n1", "b1", 1_000_000),
--- a/tests/unit/test_route_filter.py
+++ b/tests/unit/test_route_filter.py
@@ -9,12 +9,12 @@
 from burdockfront import allowance
 from burdockfront import levels
 from burdockfront import outcomes
+from burdockfront import policy
 from burdockfront import routes
 from burdockfront import routing
 from burdockfront import timeline
 from burdockfront_client import attempts
 from burdockfront_client import calls
-from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_client import sender as sender_lib
 from burdockfront_node.filters import base
 from burdockfront_node.filters import route as route_lib
@@ -29,22 +29,14 @@
     if found:
         book.accept(builders.a_table(7, *found))
     recorder = timeline.Recorder("n1", "dc1", 10)
-    dispatcher = dispatcher_lib.Dispatcher(
-        "n1",
-        "dc1",
-        builders.a_key_ring(),
-        route_lib.calls.policy.default,
-        recorder,
-        900.0,
-        random.Random(1),
-    )
+    dispatcher = builders.a_dispatcher(recorder)
     routed = base.RoutedTools(
         book, frozenset(["deadline"]), "timetable", lambda name: new_work
     )
     tools = base.Tools(
         dispatcher,
         attempts.AttemptBook(),
-        route_lib.calls.policy.default,
+        policy.default,
         recorder,
         routed,
     )
--- a/tests/unit/test_routed_guard.py
+++ b/tests/unit/test_routed_guard.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import random
 import time
 
 from burdockfront import ledger
@@ -78,15 +77,7 @@
 
 def _world(slots: int) -> _World:
     recorder = timeline.Recorder("n1", "dc1", 100)
-    dispatcher = dispatcher_lib.Dispatcher(
-        "n1",
-        "dc1",
-        builders.a_key_ring(),
-        policy.default,
-        recorder,
-        900.0,
-        random.Random(1),
-    )
+    dispatcher = builders.a_dispatcher(recorder)
     ready = asyncio.Event()
     ready.set()
     way = _Backend()
