A node leaves the store first, asks its backend server at a start, and shares the retry slack

A stop asked the store last, to end the node's lease, and waited up to 1.5 s for a slow store: past the time at which the platform kills the process ("1 processes were still there at the end of the grace time"). It asks when the stop begins, while requests run. A node that starts again beside a working backend server waited for the next heartbeat, up to 1.5 s. It asks the server's health once; a server that leaves says no. Ruled out: asking again and again (health questions are dear, heartbeats come anyway). Each node's part of the retries that all may spend unearned assumed 16 nodes; with 75 the parts added up to 235 of 106. It follows the members known.

--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -109,6 +109,14 @@
         """Services that this process keeps a retry ratio for."""
         return len(self._ratios)
 
+    def set_retry_burst(self, burst: float) -> None:
+        """Takes how many retries of a service may be spent unearned."""
+        if burst == self._retry_burst:
+            return
+        self._retry_burst = burst
+        for ratio in self._ratios.values():
+            ratio.set_burst(burst)
+
     def new_id(self) -> str:
         """Returns an id that no other process uses."""
         return f"{self._node_id}-{self._rng.getrandbits(48):012x}"
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
@@ -56,6 +56,7 @@
         self._exchange = exchange
         self._rng = rng
         self._lease: store_lib.Lease | None = None
+        self._left = False
         self._renew_now = asyncio.Event()
 
     def store_returned(self) -> None:
@@ -63,8 +64,8 @@
         self._renew_now.set()
 
     async def register_forever(self) -> None:
-        """Keeps this node's key."""
-        while True:
+        """Keeps this node's key until it leaves."""
+        while not self._left:
             self._renew_now.clear()
             try:
                 await self.register()
@@ -103,7 +104,14 @@
             await self._exchange.join(missing, _ENOUGH)
 
     async def leave(self) -> None:
-        """Removes this node's key; a store that is away lets it lapse."""
+        """Removes this node's key; a store that is away lets it lapse.
+
+        To be called when a stop begins, not when it ends: a store that is slow
+        then answers while requests still run. As the last step it held the
+        process for a second and a half past the time at which it is killed.
+        """
+        self._left = True
+        self._renew_now.set()
         if self._lease is None:
             return
         try:
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -28,6 +28,7 @@
 from burdockfront_node.controllers import backends as backends_lib
 from burdockfront_node.controllers import directory as directory_lib
 from burdockfront_node.controllers import exposition as exposition_lib
+from burdockfront_node.controllers import first_look as first_look_lib
 from burdockfront_node.controllers import heartbeats as heartbeats_lib
 from burdockfront_node.controllers import policies as policies_lib
 from burdockfront_node.controllers import route_watch as route_watch_lib
@@ -97,10 +98,15 @@
     def _retry_burst(self) -> float:
         """Returns this node's part of the slack that all nodes share.
 
-        Half of it, since windows slide over what was saved up before. How
-        many nodes there are is learned later, so a usual number is assumed.
+        Half of it, since windows slide over what was saved up before. Before
+        others are known a usual number of nodes is assumed.
         """
-        return max(1.0, self._place.retry_slack / 2 / _USUAL_NODES)
+        nodes = max(_USUAL_NODES, len(self._exchange.membership.usable()))
+        return self._place.retry_slack / 2 / nodes
+
+    def _update_router(self) -> None:
+        super()._update_router()
+        self._dispatcher.set_retry_burst(self._retry_burst())
 
     def _new_handover(self) -> handover_lib.Handover:
         return routed_handover.RoutedHandover(
@@ -161,6 +167,16 @@
             self._backends,
             self._recorder,
         )
+        self._first_look = first_look_lib.FirstLook(
+            self._place.service,
+            self._settings.data_center,
+            self._place.backend_address,
+            self._adapter.dialect,
+            self._book,
+            self._route_watch,
+            self._incarnations,
+            heartbeats,
+        )
         exposition = exposition_lib.Exposition(
             self._metrics, self._latencies, self._log
         )
@@ -208,6 +224,7 @@
             self._directory.register_forever,
             self._directory.look_forever,
             self._route_watch.watch_forever,
+            self._first_look.look,
             *self._common_works(),
         ]
 
@@ -264,6 +281,7 @@
         self._refuses_after_s = began_s + drain.notice_s + _LAST_REQUESTS_S
         self._guard.drain(drain.notice_s)
         self._backends.publish()
+        self._tasks.append(asyncio.create_task(self._directory.leave()))
         await asyncio.sleep(drain.notice_s)
         until_s = began_s + self._place.stop_s - _STOP_MARGIN_S
         while self._busy() and time.monotonic() < until_s:
@@ -271,4 +289,3 @@
         for listener in self._listeners:
             listener.close()
         self._exchange.leave()
-        await self._directory.leave()
--- a/packages/burdockfront-node/src/burdockfront_node/surroundings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/surroundings.py
@@ -62,6 +62,19 @@
     OTHER_INCARNATION = "other-incarnation"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Health:
+    """What a healthy backend server says of itself when it is asked.
+
+    Attributes:
+        instance_id: The incarnation that answered.
+        slots: Requests that it works on at once.
+    """
+
+    instance_id: str
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerAnswer:
     """An answer as the caller gets it."""
@@ -100,6 +113,9 @@
     def word_of(self, answer: connection.RawAnswer) -> BackendWord:
         """Returns what an answer means."""
 
+    def health_of(self, answer: connection.RawAnswer) -> Health | None:
+        """Reads an answer to a question for health; None if not healthy."""
+
 
 class HeartbeatTaker(Protocol):
     """Takes what the backend server beside the node says of itself."""
--- a/packages/burdockfront/src/burdockfront/allowance.py
+++ b/packages/burdockfront/src/burdockfront/allowance.py
@@ -73,9 +73,9 @@
 
     Args:
         ratio: Retries earned by a first try.
-        burst: Retries that may be saved up. All nodes save up to this much
-            at the same time, so where the whole system has a bound, each
-            gets its part of it.
+        burst: Retries that may be spent before any is earned. All nodes have
+            this much at the same time, so where the whole system has a
+            bound, each gets its part of it, which may be less than one.
     """
 
     def __init__(self, ratio: float, burst: float = DEFAULT_BURST):
@@ -83,9 +83,20 @@
         self._burst = burst
         self._tokens = burst
 
+    def set_burst(self, burst: float) -> None:
+        """Takes a changed part, e.g. when more nodes are known than before.
+
+        A node that starts knows nobody and would take a large part. With many
+        nodes that start at once, the parts would add up to a multiple of what
+        all may spend together.
+        """
+        if burst < self._burst:
+            self._tokens = min(self._tokens, burst)
+        self._burst = burst
+
     def first_try(self) -> None:
         """Counts a first try, which earns a share of a retry."""
-        self._tokens = min(self._burst, self._tokens + self._ratio)
+        self._tokens = min(self._most(), self._tokens + self._ratio)
 
     def retry(self) -> bool:
         """Takes one retry, if the ratio has one left."""
@@ -93,3 +104,7 @@
             return False
         self._tokens -= 1.0
         return True
+
+    def _most(self) -> float:
+        """Returns what may be saved up; one, or nobody could ever retry."""
+        return max(1.0, self._burst)
--- a/packages/burdockfront/src/burdockfront/routes.py
+++ b/packages/burdockfront/src/burdockfront/routes.py
@@ -78,6 +78,14 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthPath:
+    """Where backend servers of a service answer for their health."""
+
+    service: str
+    path: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteTable:
     """All routes under one version.
@@ -86,11 +94,13 @@
         version: Grows with each change by an operator.
         hosts: Routes by host name.
         limits: What callers may send.
+        health_paths: Where backend servers answer for their health.
     """
 
     version: int
     hosts: tuple[VirtualHost, ...]
     limits: CallerLimits = CallerLimits()
+    health_paths: tuple[HealthPath, ...] = ()
 
     def to_json(self) -> dict[str, Any]:
         """Returns the form that travels between nodes."""
@@ -157,6 +167,14 @@
         """What callers may send now."""
         return self._table.limits if self._table else CallerLimits()
 
+    def health_path(self, service: str) -> str:
+        """Returns where a service answers for its health; empty: nowhere."""
+        known = self._table.health_paths if self._table else ()
+        for entry in known:
+            if entry.service == service:
+                return entry.path
+        return ""
+
     def accept(self, table: RouteTable) -> bool:
         """Puts a table in force if it is newer than the one in force.
 
