Requests leave at the top when their calls would leave below

Two reasons: (1) where the deepest service is missing or pressed in a data centre, eight calls of each request leave, and nobody above knows; (2) the hurry, meant for callers beside slow servers, was set off by answers that were late because a service had no room at all, and then everybody preferred quick servers far away.

Changes: each node learns how many ways the requests at its server cost below (`detours.py`) and tells it on answers; who chooses a guard sends requests away in proportion to what that saves.

--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -324,6 +324,8 @@
         self._counters.handed_over += 1
         self._record("call.handed-over", attempt)
         self._stalls.handed(started_s)
+        if self._lineage is not None:
+            self._lineage.run_began(attempt)
         answer: outcomes.Answer | None = None
         try:
             answer = await self._to_backend(attempt, nonce)
@@ -333,6 +335,8 @@
             served = answer is not None and answer.reason is None
             class_name = attempt.context.class_name if served else ""
             gate.leave(service_s, class_name)
+            if self._lineage is not None:
+                self._lineage.run_left(attempt)
         if self._lineage is not None:
             answer = self._lineage.run_ended(attempt, started_s, answer)
         self._record(
@@ -400,12 +404,16 @@
         """Adds what the asking side should know of this guard."""
         if answer.outcome is outcomes.Outcome.UNKNOWN:
             self._counters.unknown += 1
+        below = 0.0
+        if self._lineage is not None:
+            below = self._lineage.detours_of(context.class_name)
         return dataclasses.replace(
             answer,
             level=self._told_level(context, answer),
             load=self.load(),
             draining=not self.takes_work or self.announcement is None,
             inner=context.depth > 0,
+            detours=below,
         )
 
     def _told_level(
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 
+from burdockfront import detours
 from burdockfront import levels
 from burdockfront import outcomes
 from burdockfront import starvation
@@ -41,6 +42,7 @@
         self._services = services
         self._origins = starvation.OriginBook()
         self._starvation = starvation.StarvationBook()
+        self._detours = detours.DetourBook(time.monotonic())
         self._new_work: set[str] = set()
 
     def is_new_work(self, class_name: str) -> bool:
@@ -52,9 +54,24 @@
         class_name = attempt.context.class_name
         self._origins.heard(class_name, attempt.call.origin_service)
         new = self._origins.is_new_work(class_name, self._services())
-        context = dataclasses.replace(attempt.context, depth=0 if new else 1)
+        depth = 0 if new else 1
+        if attempt.context.depth == depth:
+            return attempt
+        context = dataclasses.replace(attempt.context, depth=depth)
         return dataclasses.replace(attempt, context=context)
 
+    def detours_of(self, class_name: str) -> float:
+        """Returns the ways that requests of a class cost below this node."""
+        return self._detours.per_request(class_name)
+
+    def run_began(self, attempt: calls.Attempt) -> None:
+        """Notes that a request is handed to the backend server."""
+        self._detours.began(attempt.context.class_name, time.monotonic())
+
+    def run_left(self, attempt: calls.Attempt) -> None:
+        """Notes that nobody waits for a request at the backend server."""
+        self._detours.ended(attempt.context.class_name, time.monotonic())
+
     def run_ended(
         self, attempt: calls.Attempt, started_s: float, answer: outcomes.Answer
     ) -> outcomes.Answer:
@@ -70,7 +87,7 @@
             self._book.called(
                 class_name, child.service, now_s, child.class_name
             )
-        return dataclasses.replace(answer, starved=starved)
+        return dataclasses.replace(answer, starved=True) if starved else answer
 
     def call_ended(self, call: calls.Call, answer: outcomes.Answer) -> None:
         """Learns from the final answer to a call that was sent from here."""
@@ -80,6 +97,8 @@
         elif answer.load is not None:
             # A guard's own word; answers made here say nothing of the kind.
             self._new_work.add(class_name)
+        if class_name not in self._new_work:
+            self._detours.called(answer.detours, time.monotonic())
         no_room = answer.reason in _NO_ROOM or answer.starved
         if no_room and class_name not in self._new_work:
             child = starvation.Child(call.service, class_name)
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -23,6 +23,7 @@
 import random
 from collections.abc import Iterable
 
+from burdockfront import detours
 from burdockfront import pace
 
 _SILENT_CALLS = 3
@@ -41,6 +42,9 @@
 # in a hurry this share of it: smaller differences are chance.
 _FAR_S = 0.015
 _HURRIED_SHARE = 0.3
+# A request may take this much longer elsewhere, of a typical answer's time, if
+# it saves ways below.
+_MOST_SLOWER_SHARE = 0.5
 _UNKNOWN_S = 0.05
 
 
@@ -95,6 +99,7 @@
         self._data_center = data_center
         self._rng = rng
         self.pace = pace.PaceBook()
+        self.ways = detours.HeardDetours()
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
 
@@ -112,6 +117,11 @@
             if node_id not in known:
                 del self._states[node_id]
                 self.pace.forget(node_id)
+                self.ways.forget(node_id)
+
+    def is_far(self, target: Target) -> bool:
+        """Whether a guard is in another data centre."""
+        return target.data_center != self._data_center
 
     def services(self) -> list[str]:
         """Returns the names of known services."""
@@ -288,8 +298,25 @@
         gained_s -= self._expected_s(other, typical_s, now_s)
         calm = 1.0 - self.pace.hurry(service)
         share = _HURRIED_SHARE + calm * (1.0 - _HURRIED_SHARE)
-        price_s = _FAR_S + share * typical_s
-        return other if gained_s > price_s else best
+        if gained_s > _FAR_S + share * typical_s:
+            return other
+        slower = gained_s < -_MOST_SLOWER_SHARE * typical_s
+        if not slower and self._saves_ways(best, other, class_name, now_s):
+            return other
+        return best
+
+    def _saves_ways(
+        self, near: Target, far: Target, class_name: str, now_s: float
+    ) -> bool:
+        """Whether a request should leave here, since its calls would below.
+
+        Not all of them at once: what guards say is a second old, and a data
+        centre that got everybody's requests would be the next to be left. So
+        they go in proportion to what is saved.
+        """
+        stays = self.ways.ways_of(near.node_id, class_name, now_s)
+        goes = 1.0 + self.ways.ways_of(far.node_id, class_name, now_s)
+        return self._rng.random() * (stays + 1.0) < stays - goes
 
     def _expected_s(
         self, target: Target, typical_s: float, now_s: float
--- /dev/null
+++ b/tests/unit/test_detours.py
@@ -0,0 +1,72 @@
+"""What requests cost below: shared out among those that may have called."""
+
+import dataclasses
+import random
+
+from burdockfront import detours
+
+
+@dataclasses.dataclass(order=True)
+class _Event:
+    at_s: float
+    kind: str
+    class_name: str
+
+
+def _events(seed: int, length_s: float) -> list[_Event]:
+    """Returns the events at a node with two classes of requests.
+
+    Both arrive at random: rosters (60 a second, each of which makes four
+    calls) and timings (10 a second, none). It is the mix at a timetable server
+    on a day of high load.
+    """
+    rng = random.Random(seed)
+    events = []
+    for class_name, per_s, work_s, calls in (
+        ("roster", 60.0, 0.12, 4),
+        ("timings", 10.0, 0.25, 0),
+    ):
+        at_s = rng.expovariate(per_s)
+        while at_s < length_s:
+            took_s = work_s * rng.uniform(0.5, 1.5)
+            events.append(_Event(at_s, "began", class_name))
+            for number in range(calls):
+                call_s = at_s + took_s * (number + 0.5) / calls
+                events.append(_Event(call_s, "called", class_name))
+            events.append(_Event(at_s + took_s, "ended", class_name))
+            at_s += rng.expovariate(per_s)
+    return sorted(events)
+
+
+def test_calls_are_attributed_to_the_class_that_makes_them():
+    # Nothing on a call names its request. A class that makes no calls must
+    # not be sent to another data centre for the sake of one that does.
+    book = detours.DetourBook(0.0)
+    for event in _events(seed=1, length_s=12.0):
+        if event.kind == "began":
+            book.began(event.class_name, event.at_s)
+        elif event.kind == "ended":
+            book.ended(event.class_name, event.at_s)
+        else:
+            book.called(1.0, event.at_s)
+    assert 3.0 < book.per_request("roster") < 4.5
+    assert book.per_request("timings") < 1.0
+
+
+def test_ways_of_a_server_that_came_back_are_forgotten():
+    book = detours.DetourBook(0.0)
+    for number in range(100):
+        at_s = number / 10
+        book.began("browse", at_s)
+        away = number < 50
+        book.called(8.0 if away else 0.0, at_s + 0.01)
+        book.ended("browse", at_s + 0.02)
+        if number == 49:
+            assert book.per_request("browse") > 7.0
+    assert book.per_request("browse") < 2.0
+
+
+def test_unknown_class_costs_nothing():
+    book = detours.DetourBook(0.0)
+    book.called(1.0, 1.0)
+    assert book.per_request("browse") == 0.0
--- a/tests/unit/test_ways.py
+++ b/tests/unit/test_ways.py
@@ -106,3 +106,38 @@
     _answers(router, 0.5, 0.2)
     router.update([])
     assert router.pace.relative("fees", "near") == 1.0
+
+
+def test_request_leaves_whose_calls_would_leave_below():
+    # The deepest service is missing in this data centre: each request that
+    # stays makes eight calls that leave, one that leaves makes none. Nobody is
+    # slow or pressed, so nothing else tells.
+    router = _router()
+    _answers(router, 0.2, 0.2)
+    router.ways.heard("near", _CLASS, 8.0, 1.0)
+    router.ways.heard("far", _CLASS, 0.0, 1.0)
+    assert 0.6 < _far_share(router) < 0.95, "in proportion, not all at once"
+
+
+def test_request_stays_where_its_calls_leave_as_often_elsewhere():
+    router = _router()
+    _answers(router, 0.2, 0.2)
+    router.ways.heard("near", _CLASS, 3.0, 1.0)
+    router.ways.heard("far", _CLASS, 3.0, 1.0)
+    assert _far_share(router) == 0.0
+
+
+def test_detours_are_not_worth_a_server_that_takes_twice_as_long():
+    router = _router()
+    _answers(router, 0.2, 0.5)
+    router.ways.heard("near", _CLASS, 8.0, 1.0)
+    assert _far_share(router) == 0.0
+
+
+def test_detours_heard_long_ago_are_not_believed():
+    # Whoever avoids a guard hears nothing of it any more, also not that the
+    # service below it is back.
+    router = _router()
+    _answers(router, 0.2, 0.2)
+    router.ways.heard("near", _CLASS, 8.0, -60.0)
+    assert _far_share(router) == 0.0
