--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -45,9 +45,6 @@
 # Ways to save before a request leaves. In an overload of all data centres calls
 # leave each of them, now more, now less; that difference is chance.
 _LEAST_SAVED = 1.0
-# A request may take this much longer elsewhere, of a typical answer's time, if
-# it saves ways below.
-_MOST_SLOWER_SHARE = 0.5
 _UNKNOWN_S = 0.05
 
 
@@ -303,7 +300,7 @@
         share = _HURRIED_SHARE + calm * (1.0 - _HURRIED_SHARE)
         if gained_s > _FAR_S + share * typical_s:
             return other
-        slower = gained_s < -_MOST_SLOWER_SHARE * typical_s
+        slower = gained_s < -_FAR_S
         if not slower and self._saves_ways(best, other, class_name, now_s):
             return other
         return best
