Which guards may get a call is looked up, not worked out for each call

Cause: for each call the router looked at each guard of the service, twice, and drew samples with the library's general method: 40 of 387 function calls at an entry with two guards, and more with each further guard.

Change: the guards in use are kept until one is ejected, returns, leaves, or a probe is due; two are drawn with two random numbers.

--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -20,6 +20,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 
@@ -34,8 +35,6 @@
 _DRAIN_BELIEVED_S = 5.0
 # A guard at 1.0 has all slots in use: the next call waits.
 _PRESSED = 1.0
-# Guards elsewhere that are compared; more would send everybody to the best.
-_FAR_TRIED = 2
 # What a way to another data centre must gain at least: a few times the way
 # itself. Under pressure all are pressed, and for less than this work would
 # only change places. While answers come in time, a typical answer's time more;
@@ -86,6 +85,23 @@
     drained_at_s: float = -1e9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _View:
+    """The guards of a service that may get a call.
+
+    Attributes:
+        near: Those of our own data centre.
+        far: All others.
+        due: An ejected one that is to be probed now.
+        until_s: When it must be looked at anew, if nothing changes before.
+    """
+
+    near: list[Target]
+    far: list[Target]
+    due: Target | None
+    until_s: float
+
+
 class Router:
     """Chooses guards and learns from what became of calls.
 
@@ -102,6 +118,7 @@
         self.ways = detours.HeardDetours()
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
+        self._views: dict[str, _View] = {}
 
     def update(self, targets: Iterable[Target]) -> None:
         """Takes the backend servers that membership knows now."""
@@ -112,6 +129,7 @@
             if state is None or state.boot_id != target.boot_id:
                 self._states[target.node_id] = _State(target.boot_id)
         self._targets = by_service
+        self._views.clear()
         known = {name for group in by_service.values() for name in group}
         for node_id in list(self._states):
             if node_id not in known:
@@ -153,21 +171,17 @@
                 back. Not for tickets, which tie a confirmation to it.
             class_name: Class of the request, to know how long it takes.
         """
-        open_targets = [
-            target
-            for target in self._targets.get(service, {}).values()
-            if self._takes_work(target, now_s) and target.node_id not in tried
-        ]
-        due = self._due_probe(open_targets, now_s) if probe else None
-        if due is not None:
-            return due
-        usable = [
-            target for target in open_targets if not self._doubted(target)
-        ]
-        usable = self._with_floor(open_targets, usable)
-        if not usable:
+        view = self._view(service, tried, now_s)
+        if probe and view.due is not None:
+            state = self._states[view.due.node_id]
+            # Whoever asked may never send it; so no answer is waited for,
+            # and the next probe is due after another pause.
+            state.probe_at_s = now_s + state.pause_s
+            self._views.clear()
+            return view.due
+        if not view.near and not view.far:
             return None
-        return self._nearest_with_room(service, class_name, usable, now_s)
+        return self._nearest_with_room(service, class_name, view, now_s)
 
     def sent(self, node_id: str) -> None:
         """Counts a call on its way."""
@@ -184,13 +198,16 @@
             return
         state.in_flight = max(0, state.in_flight - 1)
         state.silent = 0
-        state.ejected = False
-        state.pause_s = _FIRST_PAUSE_S
+        if state.ejected:
+            state.ejected = False
+            state.pause_s = _FIRST_PAUSE_S
+            self._views.clear()
         if load is not None:
             state.load = load
             state.load_at_s = now_s
         if draining:
             state.drained_at_s = now_s
+            self._views.clear()
 
     def unanswered(self, node_id: str, unreachable: bool, now_s: float) -> bool:
         """Learns that a call got no answer.
@@ -241,26 +258,49 @@
         state.ejected = True
         jitter = self._rng.uniform(0.8, 1.2)
         state.probe_at_s = now_s + state.pause_s * jitter
+        self._views.clear()
         return fresh
 
     def _doubted(self, target: Target) -> bool:
         return target.suspect or self._states[target.node_id].ejected
 
-    def _takes_work(self, target: Target, now_s: float) -> bool:
-        if target.draining:
-            return False
-        state = self._states[target.node_id]
-        return now_s - state.drained_at_s > _DRAIN_BELIEVED_S
+    def _view(self, service: str, tried: frozenset[str], now_s: float) -> _View:
+        """Returns which guards may get a call.
 
-    def _due_probe(self, targets: list[Target], now_s: float) -> Target | None:
-        for target in targets:
+        For first tries it is kept until something changes: looking at each
+        guard for each call costs more the larger the service is.
+        """
+        if tried:
+            return self._look(service, tried, now_s)
+        view = self._views.get(service)
+        if view is None or now_s >= view.until_s:
+            view = self._views[service] = self._look(service, tried, now_s)
+        return view
+
+    def _look(self, service: str, tried: frozenset[str], now_s: float) -> _View:
+        open_targets = []
+        due = None
+        until_s = math.inf
+        for target in self._targets.get(service, {}).values():
+            if target.draining or target.node_id in tried:
+                continue
             state = self._states[target.node_id]
-            if state.ejected and now_s >= state.probe_at_s:
-                # Whoever asked may never send it; so no answer is waited
-                # for, and the next probe is due after another pause.
-                state.probe_at_s = now_s + state.pause_s
-                return target
-        return None
+            believed_s = state.drained_at_s + _DRAIN_BELIEVED_S
+            if now_s <= believed_s:
+                until_s = min(until_s, believed_s)
+                continue
+            open_targets.append(target)
+            if not state.ejected:
+                continue
+            if now_s < state.probe_at_s:
+                until_s = min(until_s, state.probe_at_s)
+            elif due is None:
+                due = target
+        usable = [t for t in open_targets if not self._doubted(t)]
+        usable = self._with_floor(open_targets, usable)
+        near = [t for t in usable if t.data_center == self._data_center]
+        far = [t for t in usable if t.data_center != self._data_center]
+        return _View(near, far, due, until_s)
 
     def _with_floor(
         self, targets: list[Target], usable: list[Target]
@@ -273,8 +313,8 @@
         return usable + ejected[: floor - len(usable)]
 
     def _nearest_with_room(
-        self, service: str, class_name: str, targets: list[Target], now_s: float
-    ) -> Target | None:
+        self, service: str, class_name: str, view: _View, now_s: float
+    ) -> Target:
         """Returns a guard of our data centre, unless another one is worth it.
 
         Ways between data centres cost time and money, so work leaves its own
@@ -282,20 +322,14 @@
         own is pressed, and for speed while answers come too late. Symptom
         without: one data centre drowns, or is always late, beside idle ones.
         """
-        near = [t for t in targets if t.data_center == self._data_center]
-        far = [t for t in targets if t.data_center != self._data_center]
-        if not near:
-            return self._better_of_two(far, now_s)
-        best = self._better_of_two(near, now_s)
-        if not far:
+        if not view.near:
+            return self._better_of_two(view.far, now_s)
+        best = self._better_of_two(view.near, now_s)
+        if not view.far:
             return best
         typical_s = self.pace.typical_s(service, class_name) or _UNKNOWN_S
-        other = min(
-            self._rng.sample(far, min(_FAR_TRIED, len(far))),
-            key=lambda t: self._expected_s(t, typical_s, now_s),
-        )
-        gained_s = self._expected_s(best, typical_s, now_s)
-        gained_s -= self._expected_s(other, typical_s, now_s)
+        other, other_s = self._sooner_of_two(view.far, typical_s, now_s)
+        gained_s = self._expected_s(best, typical_s, now_s) - other_s
         calm = 1.0 - self.pace.hurry(service)
         share = _HURRIED_SHARE + calm * (1.0 - _HURRIED_SHARE)
         if gained_s > _FAR_S + share * typical_s:
@@ -327,10 +361,32 @@
         relative = self.pace.relative(target.service, target.node_id)
         return typical_s * relative * (1.0 + waiting)
 
+    def _sooner_of_two(
+        self, targets: list[Target], typical_s: float, now_s: float
+    ) -> tuple[Target, float]:
+        """Returns the one of two that answers sooner, and in what time."""
+        first, second = self._two_of(targets)
+        first_s = self._expected_s(first, typical_s, now_s)
+        if second is first:
+            return first, first_s
+        second_s = self._expected_s(second, typical_s, now_s)
+        if first_s <= second_s:
+            return first, first_s
+        return second, second_s
+
+    def _two_of(self, targets: list[Target]) -> tuple[Target, Target]:
+        """Draws two; the same one twice if there is no other."""
+        count = len(targets)
+        if count == 1:
+            return targets[0], targets[0]
+        index = int(self._rng.random() * count)
+        step = 1 + int(self._rng.random() * (count - 1))
+        return targets[index], targets[(index + step) % count]
+
     def _better_of_two(self, targets: list[Target], now_s: float) -> Target:
-        if len(targets) == 1:
-            return targets[0]
-        first, second = self._rng.sample(targets, 2)
+        first, second = self._two_of(targets)
+        if second is first:
+            return first
         if self._score(first, now_s) <= self._score(second, now_s):
             return first
         return second
--- a/tests/unit/test_event_log.py
+++ b/tests/unit/test_event_log.py
@@ -43,10 +43,13 @@
     async def scenario() -> None:
         reading, writing = os.pipe()
         log = event_log.EventLog(writing)
-        log.write_event(_event("entry.accepted", "r-1"))
-        log.write_event(_event("entry.answered", "r-1", outcome="done"))
+        recorder = timeline.Recorder("n1", "dc1", 10, log.write_event)
+        recorder.note(1.0, "entry.accepted", "r-1")
+        recorder.record(1.1, "entry.answered", "r-1", outcome="done")
         log.flush()
         assert [line["kind"] for line in _lines(reading)] == ["entry.answered"]
+        known = recorder.select(timeline.Filter(request="r-1"), 10)
+        assert [e.kind for e in known] == ["entry.accepted", "entry.answered"]
 
     asyncio.run(scenario())
 
