--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -33,6 +33,9 @@
 from burdockfront_client import sender as sender_lib
 
 _MIN_REMAINING_S = 0.002
+# A call of a backend server is one of several that a request makes, one after
+# the other, as a rule; no single one may take all the time that is left.
+_SHARE_OF_A_CALL = 0.5
 _LEVEL_REFUSALS = frozenset(
     [outcomes.Reason.SHED, outcomes.Reason.OVERLOAD_DEEPER]
 )
@@ -342,7 +345,11 @@
         tried = frozenset(progress.tried)
         class_name = call.context.class_name
         target = self.router.choose(
-            call.service, tried, now_s, class_name=class_name
+            call.service,
+            tried,
+            now_s,
+            class_name=class_name,
+            limit_s=_limit_s(call, now_s),
         )
         if target is None and progress.lost:
             # All were tried; a lost answer may be asked for once more.
@@ -411,6 +418,14 @@
         return ratio
 
 
+def _limit_s(call: calls.Call, now_s: float) -> float:
+    """Returns after how long an answer is of little value."""
+    limit_s = min(call.target_s, call.deadline_s - now_s)
+    if call.context.depth > 0:
+        limit_s *= _SHARE_OF_A_CALL
+    return limit_s
+
+
 def _fate_of(sent: calls.Sent) -> str:
     """Returns in a word what became of an attempt, for logs."""
     if sent.answer is None:
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -25,7 +25,6 @@
 # an expired deadline still reaches us.
 _ANSWER_MARGIN_S = 0.02
 _SERVER_ERROR = 500
-_TIMEOUT_STATUS = 504
 # Of the backend server, not of the load.
 _FAULTS = frozenset(
     [
@@ -34,8 +33,10 @@
         outcomes.Reason.LOST_ANSWER,
     ]
 )
-# An error after so much of its time is one for lack of time.
-_USED_UP_SHARE = 0.8
+_TIMEOUT_STATUS = 504
+# Heads of a call and of its answer, about.
+_HEADS_BYTES = 600
+_BYTES_PER_KB = 1000.0
 
 LocalGuard = Callable[[calls.Attempt], Awaitable[outcomes.Answer]]
 
@@ -141,7 +142,7 @@
         now_s = time.monotonic()
         self._learn(call, target, answer, now_s - started_s, now_s)
         if self._router.is_far(target):
-            answer.detours += 1.0
+            answer.far_kb += _kb_of(call, answer)
         return calls.Sent(calls.Fate.ANSWERED, answer)
 
     def _attempt_of(
@@ -225,7 +226,7 @@
             target.node_id, answer.load, answer.draining, now_s
         )
         self._router.ways.heard(
-            target.node_id, call.context.class_name, answer.detours, now_s
+            target.node_id, call.context.class_name, answer.far_kb, now_s
         )
         if answer.level is not None:
             self._book.hear(
@@ -245,25 +246,18 @@
         pace = self._router.pace
         if answer.reason in _FAULTS:
             pace.failed(target.node_id)
-        if answer.level is not None:
-            pace.pressure(call.service, answer.level < levels.OPEN)
-        if answer.outcome is outcomes.Outcome.NOT_RUN:
-            return
-        good = (
-            answer.outcome is outcomes.Outcome.DONE
-            and answer.status < _SERVER_ERROR
+        class_name = call.context.class_name
+        timed_out = (
+            answer.reason is outcomes.Reason.DEADLINE
+            and answer.outcome is outcomes.Outcome.UNKNOWN
         )
-        if good:
-            pace.answered(
-                call.service,
-                target.node_id,
-                call.context.class_name,
-                elapsed_s,
-            )
-        used_up = elapsed_s >= call.context.remaining_s * _USED_UP_SHARE
-        too_late = good and elapsed_s > call.target_s
-        timed_out = not good and (used_up or answer.status == _TIMEOUT_STATUS)
-        pace.in_time(call.service, late=too_late or timed_out)
+        if timed_out or answer.status == _TIMEOUT_STATUS:
+            pace.late(call.service, target.node_id, class_name, elapsed_s)
+        if answer.outcome is not outcomes.Outcome.DONE:
+            return
+        pace.moved(call.service, class_name, _kb_of(call, answer))
+        if answer.status < _SERVER_ERROR:
+            pace.answered(call.service, target.node_id, class_name, elapsed_s)
 
     def _overdue(self, node_id: str) -> None:
         if self._router.overdue(node_id, time.monotonic()):
@@ -287,3 +281,9 @@
         )
         if ejected:
             self._record_ejection(target.node_id)
+
+
+def _kb_of(call: calls.Call, answer: outcomes.Answer) -> float:
+    """Returns the kilobytes that a call and its answer have, about."""
+    size_bytes = _HEADS_BYTES + len(call.body) + len(answer.body)
+    return size_bytes / _BYTES_PER_KB
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -168,7 +168,7 @@
             stamp,
             answer.starved,
             answer.inner,
-            round(answer.detours, 1),
+            round(answer.far_kb, 1),
         ]
     ).decode()
 
@@ -223,6 +223,6 @@
         draining=parts[9],
         starved=parts[11],
         inner=parts[12],
-        detours=parts[13],
+        far_kb=parts[13],
     )
     return answer, parts[10]
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -414,9 +414,9 @@
         answer.load = self.load()
         answer.draining = not self.takes_work or self.announcement is None
         answer.inner = context.depth > 0
-        answer.detours = 0.0
+        answer.far_kb = 0.0
         if self._lineage is not None:
-            answer.detours = self._lineage.detours_of(context.class_name)
+            answer.far_kb = self._lineage.detours_of(context.class_name)
         return answer
 
     def _told_level(
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -61,7 +61,7 @@
         return dataclasses.replace(attempt, context=context)
 
     def detours_of(self, class_name: str) -> float:
-        """Returns the ways that requests of a class cost below this node."""
+        """Returns the kilobytes that requests of a class cost below."""
         return self._detours.per_request(class_name)
 
     def run_began(self, attempt: calls.Attempt) -> None:
@@ -98,7 +98,7 @@
             # A guard's own word; answers made here say nothing of the kind.
             self._new_work.add(class_name)
         if class_name not in self._new_work:
-            self._detours.called(answer.detours, time.monotonic())
+            self._detours.called(answer.far_kb, time.monotonic())
         no_room = answer.reason in _NO_ROOM or answer.starved
         if no_room and class_name not in self._new_work:
             child = starvation.Child(call.service, class_name)
--- a/packages/burdockfront/src/burdockfront/detours.py
+++ b/packages/burdockfront/src/burdockfront/detours.py
@@ -1,10 +1,11 @@
-"""Ways between data centres that a request costs below the layer it is at.
+"""Bytes between data centres that a request costs below the layer it is at.
 
-A call that leaves its data centre costs bytes. Where a deep service is missing
-or pressed in one data centre, every call of it leaves: eight of them for one
-browse that stayed. Sent elsewhere at the top, the same request costs one way.
-So each node learns how many ways the requests at its backend server cost below,
-and says so on its answers; whoever chooses a guard takes it into account.
+A call that leaves its data centre moves bytes over a dear way. Where a deep
+service is missing or pressed in one data centre, every call of it leaves: eight
+of them for one browse that stayed. Sent elsewhere at the top, the same request
+costs one way. So each node learns how many kilobytes the requests at its
+backend server cost below, and says so on its answers; whoever chooses a guard
+takes it into account.
 
 Nothing on a call says which request it is made for. What is known is which
 requests were at the backend server when it made the call. Each call is shared
@@ -40,7 +41,7 @@
     busy_s: float = 0.0
     runs: float = 0.0
     calls: float = 0.0
-    ways: float = 0.0
+    far_kb: float = 0.0
 
     def calls_per_s(self) -> float:
         """Returns how often a request of this class calls while at work."""
@@ -73,11 +74,11 @@
         assert known.at_work > 0, "a request ends once"
         known.at_work -= 1
 
-    def called(self, ways: float, now_s: float) -> None:
+    def called(self, far_kb: float, now_s: float) -> None:
         """Notes a call that the backend server made.
 
         Args:
-            ways: Ways between data centres that it cost, there and below.
+            far_kb: Kilobytes between data centres, there and below.
             now_s: The current time.
         """
         self._fade(now_s)
@@ -90,14 +91,14 @@
         for known, weight in zip(at_work, weights, strict=True):
             share = weight / total
             known.calls += share
-            known.ways += share * ways
+            known.far_kb += share * far_kb
 
     def per_request(self, class_name: str) -> float:
-        """Returns the ways that a request of a class costs below."""
+        """Returns the kilobytes that a request of a class costs below."""
         known = self._classes.get(class_name)
         if known is None:
             return 0.0
-        return known.ways / max(1.0, known.runs)
+        return known.far_kb / max(1.0, known.runs)
 
     def _fade(self, now_s: float) -> None:
         elapsed_s = now_s - self._at_s
@@ -109,33 +110,33 @@
             known.busy_s = known.busy_s * kept + known.at_work * elapsed_s
             known.runs *= kept
             known.calls *= kept
-            known.ways *= kept
+            known.far_kb *= kept
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Heard:
-    ways: float
+    far_kb: float
     at_s: float
 
 
 class HeardDetours:
-    """What guards said of the ways below them, at the asking side."""
+    """What guards said of the bytes below them, at the asking side."""
 
     def __init__(self) -> None:
         self._heard: dict[tuple[str, str], _Heard] = {}
 
     def heard(
-        self, node_id: str, class_name: str, ways: float, now_s: float
+        self, node_id: str, class_name: str, far_kb: float, now_s: float
     ) -> None:
         """Takes what a guard said on an answer."""
-        self._heard[(node_id, class_name)] = _Heard(ways, now_s)
+        self._heard[(node_id, class_name)] = _Heard(far_kb, now_s)
 
-    def ways_of(self, node_id: str, class_name: str, now_s: float) -> float:
+    def kb_of(self, node_id: str, class_name: str, now_s: float) -> float:
         """Returns what a guard said; 0.0 if that is long ago, or never."""
         heard = self._heard.get((node_id, class_name))
         if heard is None or now_s - heard.at_s > _BELIEVED_S:
             return 0.0
-        return heard.ways
+        return heard.far_kb
 
     def forget(self, node_id: str) -> None:
         """Drops what is known of a guard that is gone."""
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -75,8 +75,8 @@
         draining: The guard that answered takes no new work.
         starved: It failed because a service here or below had no room.
         inner: The guard takes it for a call of a backend server.
-        detours: Ways between data centres that requests of this class cost
-            below the guard that answered, on average.
+        far_kb: Kilobytes between data centres that requests of this class
+            cost below the guard that answered, on average.
     """
 
     outcome: Outcome
@@ -93,7 +93,7 @@
     draining: bool = False
     starved: bool = False
     inner: bool = False
-    detours: float = 0.0
+    far_kb: float = 0.0
 
 
 _STATUS_OF_REASON = {
--- a/packages/burdockfront/src/burdockfront/pace.py
+++ b/packages/burdockfront/src/burdockfront/pace.py
@@ -1,110 +1,129 @@
-"""How fast the backend servers of a service are, and who is in a hurry.
-
-Backend servers of one service differ in speed by a factor of two or more. It
-matters only where time runs out: callers of a data centre whose servers are the
-slow ones may miss their time limit on every deep request while all is well
-elsewhere. So a router keeps, for each server, how long its answers take beside
-what is typical for the class of request, and for each service how many answers
-come too late. While few do, work stays near; the more do, the more speed
-counts.
-
-Answers are also late where a service has no room, here or below, and then they
-are late everywhere: a quick server far away is no quicker, and hurrying there
-only costs ways. So the more answers come from under pressure, the less hurry
-counts.
-
-A server that was not tried yet is taken for a quick one in proportion to the
-hurry, or nobody would ever find out.
+"""How likely a guard's answer comes in time, and what the way there moves.
+
+Backend servers of one service differ in speed by a factor of two or more, and
+some fail a part of their requests while they look healthy. So a router keeps,
+for each server, how long its answers take beside what is typical for the class
+of request and which part of its requests fail, and for each class how many
+bytes a call and its answer have.
+
+From these follows the chance that an answer is of full value: that it comes at
+all, and before its time limit. Times of one class are spread; the part that
+takes longer than a limit is that of a log-logistic distribution around the
+expected time. Speed that is not needed is worth nothing: while answers take a
+third of what they may, a server twice as quick gains one answer in a hundred.
 """
 
 import dataclasses
 
 _TYPICAL_WEIGHT = 0.02
 _SPEED_WEIGHT = 0.1
+_FAILING_WEIGHT = 0.1
+_BYTES_WEIGHT = 0.1
 # One answer in a thousand takes many times the usual; it says little.
 _MOST_SAMPLE = 4.0
-_LATE_WEIGHT = 0.02
-# From this share of late answers on speed counts fully.
-_FULL_HURRY = 0.03
-# From this share of answers from under pressure on it doesn't count at all. One
-# in ten is far above what a short burst leaves in the mean, and far below
-# overload, where nearly all are.
-_FULL_PRESSURE = 0.1
-_UNTRIED_IN_HURRY = 0.5
+# Shape of the distribution of times: the logarithm deviates by 0.45, between
+# steady work (0.3) and work that varies a lot (0.8).
+_SHAPE = 4.0
+# Before a class has been seen: a short answer with its headers.
+_USUAL_KB = 1.0
 
 
 @dataclasses.dataclass(slots=True)
-class _Service:
-    late_share: float = 0.0
-    pressed_share: float = 0.0
-    typical_s: dict[str, float] = dataclasses.field(default_factory=dict)
+class _Class:
+    """What calls of one class to one service are like."""
+
+    typical_s: float = 0.0
+    kb: float = _USUAL_KB
 
 
 class PaceBook:
-    """What one router learned of speeds."""
+    """What one router learned of guards and classes."""
 
     def __init__(self) -> None:
-        self._services: dict[str, _Service] = {}
+        self._classes: dict[tuple[str, str], _Class] = {}
         self._relative: dict[str, float] = {}
+        self._failing: dict[str, float] = {}
 
     def answered(
         self, service: str, node_id: str, class_name: str, elapsed_s: float
     ) -> None:
         """Learns from a good answer."""
-        known = self._services.setdefault(service, _Service())
-        typical_s = known.typical_s.get(class_name)
-        if typical_s is None or typical_s <= 0.0:
-            known.typical_s[class_name] = elapsed_s
+        failing = self._failing.get(node_id, 0.0)
+        self._failing[node_id] = failing * (1.0 - _FAILING_WEIGHT)
+        known = self._class_of(service, class_name)
+        typical_s = known.typical_s
+        if typical_s <= 0.0:
+            known.typical_s = elapsed_s
             return
         sample = min(_MOST_SAMPLE, elapsed_s / typical_s)
-        known.typical_s[class_name] += _TYPICAL_WEIGHT * (elapsed_s - typical_s)
+        known.typical_s += _TYPICAL_WEIGHT * (elapsed_s - typical_s)
         before = self._relative.get(node_id, sample)
         self._relative[node_id] = before + _SPEED_WEIGHT * (sample - before)
 
-    def failed(self, node_id: str) -> None:
-        """Learns that a server refused, or that its answer was lost.
+    def late(
+        self, service: str, node_id: str, class_name: str, elapsed_s: float
+    ) -> None:
+        """Learns that an answer was given up after so long.
 
-        It counts as the slowest answer there is: a server that fails a part
-        of its requests while it looks healthy is avoided like a slow one, in
-        proportion to the part.
+        Without this a server that never answers in time would look no slower
+        than it was when it last did.
         """
+        typical_s = self.typical_s(service, class_name)
+        if typical_s <= 0.0:
+            return
+        sample = min(_MOST_SAMPLE, elapsed_s / typical_s)
         before = self._relative.get(node_id, 1.0)
-        self._relative[node_id] = before + _SPEED_WEIGHT * (
-            _MOST_SAMPLE - before
-        )
-
-    def in_time(self, service: str, late: bool) -> None:
-        """Learns whether an answer, of whatever kind, was in time."""
-        known = self._services.setdefault(service, _Service())
-        sample = 1.0 if late else 0.0
-        known.late_share += _LATE_WEIGHT * (sample - known.late_share)
-
-    def pressure(self, service: str, pressed: bool) -> None:
-        """Learns whether an answer came from under pressure."""
-        known = self._services.setdefault(service, _Service())
-        sample = 1.0 if pressed else 0.0
-        known.pressed_share += _LATE_WEIGHT * (sample - known.pressed_share)
-
-    def hurry(self, service: str) -> float:
-        """Returns how much speed counts, from 0 to 1."""
-        known = self._services.get(service)
-        if known is None:
-            return 0.0
-        calm = max(0.0, 1.0 - known.pressed_share / _FULL_PRESSURE)
-        return calm * min(1.0, known.late_share / _FULL_HURRY)
+        if sample > before:
+            self._relative[node_id] = before + _SPEED_WEIGHT * (sample - before)
+
+    def moved(self, service: str, class_name: str, kb: float) -> None:
+        """Learns how many kilobytes a call and its answer had."""
+        known = self._class_of(service, class_name)
+        known.kb += _BYTES_WEIGHT * (kb - known.kb)
+
+    def failed(self, node_id: str) -> None:
+        """Learns that a server refused, or that its answer was lost."""
+        failing = self._failing.get(node_id, 0.0)
+        self._failing[node_id] = failing + _FAILING_WEIGHT * (1.0 - failing)
 
     def typical_s(self, service: str, class_name: str) -> float:
         """Returns how long answers of a class take; 0 while unknown."""
-        known = self._services.get(service)
-        return known.typical_s.get(class_name, 0.0) if known else 0.0
+        known = self._classes.get((service, class_name))
+        return known.typical_s if known else 0.0
+
+    def kb_of(self, service: str, class_name: str) -> float:
+        """Returns how many kilobytes a call of a class and its answer have."""
+        known = self._classes.get((service, class_name))
+        return known.kb if known else _USUAL_KB
 
-    def relative(self, service: str, node_id: str) -> float:
+    def relative(self, node_id: str) -> float:
         """Returns the time of a server's answers beside what is typical."""
-        known = self._relative.get(node_id)
-        if known is not None:
-            return known
-        return 1.0 - (1.0 - _UNTRIED_IN_HURRY) * self.hurry(service)
+        return self._relative.get(node_id, 1.0)
+
+    def failing(self, node_id: str) -> float:
+        """Returns the part of a server's requests that fail, about."""
+        return self._failing.get(node_id, 0.0)
+
+    def chance(self, node_id: str, expected_s: float, limit_s: float) -> float:
+        """Returns how likely an answer of a server comes, and in time.
+
+        Args:
+            node_id: The guard beside the server.
+            expected_s: How long an answer will take, waiting and all.
+            limit_s: After this it is of little value, or of none.
+        """
+        late = 1.0
+        if limit_s > 0.0:
+            late = 1.0 / (1.0 + (limit_s / max(expected_s, 1e-6)) ** _SHAPE)
+        return (1.0 - self.failing(node_id)) * (1.0 - late)
 
     def forget(self, node_id: str) -> None:
         """Drops what is known of a server that is gone."""
         self._relative.pop(node_id, None)
+        self._failing.pop(node_id, None)
+
+    def _class_of(self, service: str, class_name: str) -> _Class:
+        known = self._classes.get((service, class_name))
+        if known is None:
+            known = self._classes[(service, class_name)] = _Class()
+        return known
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -1,9 +1,10 @@
 """Which backend server gets a call.
 
-Work stays in its own data centre while that is worth it (see
-`Router._nearest_with_room`). Two candidates are drawn at random and the better
-one is taken: with many routers that each see only a part of the load, "the best
-of all" would send all of them to the same server at once. Better means fewer
+Work stays in its own data centre unless answers in time pay for the way (see
+`Router._nearest_unless_late`). Two candidates are drawn at random and the
+better one is taken: with many routers that each see only a part of the load,
+"the best of all" would send all of them to the same server at once. Better
+means fewer
 calls of ours in flight plus the load that its guard told on its last answer,
 per slot.
 
@@ -35,15 +36,15 @@
 _DRAIN_BELIEVED_S = 5.0
 # A guard at 1.0 has all slots in use: the next call waits.
 _PRESSED = 1.0
-# What a way to another data centre must gain at least: a few times the way
-# itself. Under pressure all are pressed, and for less than this work would
-# only change places. While answers come in time, a typical answer's time more;
-# in a hurry this share of it: smaller differences are chance.
-_FAR_S = 0.015
-_HURRIED_SHARE = 0.3
-# Ways to save before a request leaves. In an overload of all data centres calls
-# leave each of them, now more, now less; that difference is chance.
-_LEAST_SAVED = 1.0
+# Kilobytes between data centres that one more answer in time is worth. Callers
+# count answers, those who pay for the way count bytes; where ways cost most
+# this is 8 KB, where they cost least 67 KB, by the prices of three deployments.
+_KB_PER_ANSWER = 16.0
+# Kilobytes to save before a request leaves. In an overload of all data centres
+# calls leave each of them, now more, now less; that difference is chance.
+_LEAST_SAVED_KB = 1.0
+# No bytes are saved for more than one answer in twenty.
+_HARM = 0.05
 _UNKNOWN_S = 0.05
 
 
@@ -160,6 +161,7 @@
         now_s: float,
         probe: bool = True,
         class_name: str = "",
+        limit_s: float = math.inf,
     ) -> Target | None:
         """Returns the guard for a call, or None when there is none left.
 
@@ -170,6 +172,7 @@
             probe: Whether this call may find out if an ejected guard is
                 back. Not for tickets, which tie a confirmation to it.
             class_name: Class of the request, to know how long it takes.
+            limit_s: After this the answer is of little value.
         """
         view = self._view(service, tried, now_s)
         if probe and view.due is not None:
@@ -181,7 +184,9 @@
             return view.due
         if not view.near and not view.far:
             return None
-        return self._nearest_with_room(service, class_name, view, now_s)
+        return self._nearest_unless_late(
+            service, class_name, limit_s, view, now_s
+        )
 
     def sent(self, node_id: str) -> None:
         """Counts a call on its way."""
@@ -312,15 +317,22 @@
         ejected.sort(key=lambda t: self._states[t.node_id].pause_s)
         return usable + ejected[: floor - len(usable)]
 
-    def _nearest_with_room(
-        self, service: str, class_name: str, view: _View, now_s: float
+    def _nearest_unless_late(
+        self,
+        service: str,
+        class_name: str,
+        limit_s: float,
+        view: _View,
+        now_s: float,
     ) -> Target:
         """Returns a guard of our data centre, unless another one is worth it.
 
-        Ways between data centres cost time and money, so work leaves its own
-        only for a gain in time that is above a price: for the wait while its
-        own is pressed, and for speed while answers come too late. Symptom
-        without: one data centre drowns, or is always late, beside idle ones.
+        Ways between data centres are paid for by the byte. So work leaves its
+        own only if the chance of an answer in time rises by more than the way
+        costs. Judged by time alone, a quarter of all requests with large
+        bodies went to quicker servers elsewhere that few of them needed, two
+        thirds of all bytes on a quiet day. Judged by nearness alone, one data
+        centre drowns, or is always late, beside idle ones.
         """
         if not view.near:
             return self._better_of_two(view.far, now_s)
@@ -328,19 +340,33 @@
         if not view.far:
             return best
         typical_s = self.pace.typical_s(service, class_name) or _UNKNOWN_S
-        other, other_s = self._sooner_of_two(view.far, typical_s, now_s)
-        gained_s = self._expected_s(best, typical_s, now_s) - other_s
-        calm = 1.0 - self.pace.hurry(service)
-        share = _HURRIED_SHARE + calm * (1.0 - _HURRIED_SHARE)
-        if gained_s > _FAR_S + share * typical_s:
+        other = self._sooner_of_two(view.far, typical_s, now_s)
+        gained = self._chance(other, typical_s, limit_s, now_s)
+        gained -= self._chance(best, typical_s, limit_s, now_s)
+        way_kb = self.pace.kb_of(service, class_name)
+        if gained * _KB_PER_ANSWER > way_kb:
             return other
-        slower = gained_s < -_FAR_S
-        if not slower and self._saves_ways(best, other, class_name, now_s):
+        harms = gained < -_HARM
+        if not harms and self._saves_ways(
+            best, other, class_name, way_kb, now_s
+        ):
             return other
         return best
 
+    def _chance(
+        self, target: Target, typical_s: float, limit_s: float, now_s: float
+    ) -> float:
+        """Returns how likely a guard's answer comes, and in time."""
+        expected_s = self._expected_s(target, typical_s, now_s)
+        return self.pace.chance(target.node_id, expected_s, limit_s)
+
     def _saves_ways(
-        self, near: Target, far: Target, class_name: str, now_s: float
+        self,
+        near: Target,
+        far: Target,
+        class_name: str,
+        way_kb: float,
+        now_s: float,
     ) -> bool:
         """Whether a request should leave here, since its calls would below.
 
@@ -348,31 +374,28 @@
         centre that got everybody's requests would be the next to be left. So
         they go in proportion to what is saved.
         """
-        stays = self.ways.ways_of(near.node_id, class_name, now_s)
-        goes = 1.0 + self.ways.ways_of(far.node_id, class_name, now_s)
-        saved = stays - goes - _LEAST_SAVED
-        return self._rng.random() * (stays + 1.0) < saved
+        stays_kb = self.ways.kb_of(near.node_id, class_name, now_s)
+        goes_kb = way_kb + self.ways.kb_of(far.node_id, class_name, now_s)
+        saved_kb = stays_kb - goes_kb - _LEAST_SAVED_KB
+        return self._rng.random() * (stays_kb + 1.0) < saved_kb
 
     def _expected_s(
         self, target: Target, typical_s: float, now_s: float
     ) -> float:
         """Returns how long an answer of a guard will take from now on."""
         waiting = max(0.0, self._score(target, now_s) - _PRESSED)
-        relative = self.pace.relative(target.service, target.node_id)
-        return typical_s * relative * (1.0 + waiting)
+        return typical_s * self.pace.relative(target.node_id) * (1.0 + waiting)
 
     def _sooner_of_two(
         self, targets: list[Target], typical_s: float, now_s: float
-    ) -> tuple[Target, float]:
-        """Returns the one of two that answers sooner, and in what time."""
+    ) -> Target:
+        """Draws two, and returns the one that answers sooner."""
         first, second = self._two_of(targets)
-        first_s = self._expected_s(first, typical_s, now_s)
         if second is first:
-            return first, first_s
+            return first
+        first_s = self._expected_s(first, typical_s, now_s)
         second_s = self._expected_s(second, typical_s, now_s)
-        if first_s <= second_s:
-            return first, first_s
-        return second, second_s
+        return first if first_s <= second_s else second
 
     def _two_of(self, targets: list[Target]) -> tuple[Target, Target]:
         """Draws two; the same one twice if there is no other."""
