An incarnation is an id and a birth; what another writer says names nobody

Cause: a backend server may start again under its id. Its numbers start anew, so each heartbeat of the new start was dropped as late, a leave that was remembered held for ever, and the pool of dead connections was kept.

Change: an incarnation is (id, born); a later birth counts at once, an earlier one needs two messages in a row (a clock may have been set back); a leave, which names only an id, is about the start in service, or the one heard of last, or the first that is heard later. The guard forgets slots and stalls of the start before. Items and addresses are checked one by one.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/backends.py
@@ -51,6 +51,10 @@
             )
         self.publish()
 
+    def begin_anew(self) -> None:
+        """Notes that what announces itself now is another incarnation."""
+        self._guard.begin_anew()
+
     def publish(self) -> None:
         """Updates this node's entry if it says anything else."""
         announced = self._guard.announcement
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
@@ -13,6 +13,7 @@
 import asyncio
 import logging
 import random
+import re
 
 import orjson
 
@@ -35,6 +36,7 @@
 _FIRST_LOOK_S = 0.5
 _MOST_LOOK_S = 30.0
 _ENOUGH = 3
+_ADDRESS = re.compile(r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")
 
 
 class Directory:
@@ -153,9 +155,11 @@
     try:
         address = orjson.loads(item.value)["address"]
     except (orjson.JSONDecodeError, KeyError, TypeError):
-        _LOG.warning(
-            "a key of the directory can't be read; remove it",
-            extra={"key": item.key},
-        )
-        return None
-    return address if isinstance(address, str) else None
+        address = None
+    if isinstance(address, str) and _ADDRESS.match(address):
+        return address
+    _LOG.warning(
+        "a key of the directory can't be read; remove it",
+        extra={"key": item.key},
+    )
+    return None
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
@@ -4,6 +4,7 @@
 import time
 
 from burdockfront import incarnations as incarnations_lib
+from burdockfront import routes as routes_lib
 from burdockfront import timeline
 from burdockfront_node import backend as backend_lib
 from burdockfront_node.controllers import backends as backends_lib
@@ -29,6 +30,8 @@
         incarnations: Which incarnation is in service.
         backends: Tells the guard and the peers.
         recorder: Where events go.
+        service: Service that the settings name for this VM.
+        book: The table in force, which names all others.
     """
 
     def __init__(
@@ -37,16 +40,24 @@
         incarnations: incarnations_lib.Incarnations,
         backends: backends_lib.Backends,
         recorder: timeline.Recorder,
+        service: str,
+        book: routes_lib.RouteBook,
     ):
         self._address = address
         self._incarnations = incarnations
         self._backends = backends
         self._recorder = recorder
-        self._told: tuple[str, bool] = ("", False)
+        self._book = book
+        self._service = service
+        self._told: incarnations_lib.Heartbeat | None = None
 
     def hear(self, beat: incarnations_lib.Heartbeat) -> None:
-        """Takes a heartbeat."""
-        if self._incarnations.hear(beat):
+        """Takes a heartbeat; one of a service nobody knows is left out."""
+        if not self._knows(beat.service):
+            self._record(
+                "backend.unknown-service", beat.instance_id, beat.sequence
+            )
+        elif self._incarnations.hear(beat):
             self._announce()
         else:
             self._record("backend.ignored", beat.instance_id, beat.sequence)
@@ -58,12 +69,23 @@
         else:
             self._record("backend.left", instance_id, -1)
 
+    def _knows(self, service: str) -> bool:
+        """Whether a service is this VM's own, or one that operators named."""
+        return service == self._service or self._book.names(service)
+
     def _announce(self) -> None:
         current = self._incarnations.current
         assert current is not None
-        told = (current.instance_id, current.leaving)
-        if told != self._told:
-            self._told = told
+        told = self._told
+        anew = (
+            told is None
+            or told.instance_id != current.instance_id
+            or told.born_ms not in (None, current.born_ms)
+        )
+        self._told = current
+        if anew:
+            self._backends.begin_anew()
+        if anew or told is None or told.leaving != current.leaving:
             kind = (
                 "backend.leaving" if current.leaving else "backend.in-service"
             )
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -88,6 +88,10 @@
         """Takes a further announcement of the same service."""
         self._limit.announce(slots, cold, time.monotonic())
 
+    def begin_anew(self) -> None:
+        """Takes the next announcement at its word."""
+        self._limit.begin_anew()
+
     def shed_by_backend(self) -> None:
         """Learns that the backend server itself refused."""
         self._admission.shed_by_backend(time.monotonic())
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -181,6 +181,16 @@
         )
         self._gate.announce(announcement.slots, turned_cold)
 
+    def begin_anew(self) -> None:
+        """Forgets what was learned of an earlier start of the server.
+
+        Without this a start that has more slots than the one before would
+        have to prove them, and one after a stall would count as stalled.
+        """
+        self._stalls.began_anew(time.monotonic())
+        if self._gate is not None:
+            self._gate.begin_anew()
+
     def withdraw(self) -> None:
         """Notes that the backend server has gone silent."""
         self.announcement = None
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -168,6 +168,8 @@
             self._incarnations,
             self._backends,
             self._recorder,
+            self._place.service,
+            self._book,
         )
         self._first_look = first_look_lib.FirstLook(
             self._place.service,
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -44,6 +44,7 @@
         self._incarnations = incarnations
         self._attempts = attempts
         self._pool: pool_lib.Pool | None = None
+        self._born_ms: int | None = None
         self._instance_id = ""
         self._address = ""
 
@@ -70,7 +71,7 @@
             return outcomes.not_run(
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
             )
-        pool = self._pool_of(announced.address, current.instance_id)
+        pool = self._pool_of(announced.address, current)
         terms = surroundings.BackendTerms(
             remaining_s, current.instance_id, attempt.call.origin_service
         )
@@ -95,15 +96,19 @@
             self._attempts.end(attempt.context.attempt_id)
         return self._judge(answer, current.instance_id)
 
-    def _pool_of(self, address: str, instance_id: str) -> pool_lib.Pool:
+    def _pool_of(
+        self, address: str, current: incarnations_lib.Heartbeat
+    ) -> pool_lib.Pool:
         """Returns the connections to an incarnation, and to no earlier one."""
-        known = (self._address, self._instance_id)
-        if self._pool is None or known != (address, instance_id):
+        known = (self._address, self._instance_id, self._born_ms)
+        wanted = (address, current.instance_id, current.born_ms)
+        if self._pool is None or known != wanted:
             if self._pool is not None:
                 self._pool.forget()
             self._pool = pool_lib.Pool(address)
             self._address = address
-            self._instance_id = instance_id
+            self._instance_id = current.instance_id
+            self._born_ms = current.born_ms
         return self._pool
 
     def _encode(
--- a/packages/burdockfront/src/burdockfront/incarnations.py
+++ b/packages/burdockfront/src/burdockfront/incarnations.py
@@ -1,8 +1,9 @@
 """Which incarnation of the backend server beside a node is the one in service.
 
-Each start of a backend server is a new incarnation with an id of its own. It
-announces itself again and again, and each announcement is numbered. Messages
-may come seconds late: after a newer one of the same incarnation, after the
+Each start of a backend server is a new incarnation. It has an id, which may be
+that of an earlier start, and tells when it was born. It announces itself again
+and again, and each announcement is numbered from its start on. Messages may
+come seconds late: after a newer one of the same incarnation, after the
 incarnation has said that it leaves, or after another one has taken its place.
 
 Believing a late one would hand requests to nobody, or to a server that was
@@ -10,6 +11,10 @@
 leaving can't be taken back, and one that was replaced needs two fresh messages
 in a row to return: a single delayed message is not enough, a server that lives
 sends the second one within its period.
+
+A start under an id that is known counts at once if it was born later. One that
+was born earlier is a late message as a rule, and else a server whose clock was
+set back: it needs two messages in a row, like one that was replaced.
 """
 
 import collections
@@ -24,7 +29,7 @@
     """What an incarnation says of itself.
 
     Attributes:
-        instance_id: Id of the incarnation.
+        instance_id: Id of the backend server; a later start may have it too.
         service: Its service.
         data_center: Its data centre.
         release: Version of its software.
@@ -32,6 +37,7 @@
         leaving: It wants no new work.
         warm_in_s: How much longer it is slow after its start.
         sequence: Grows with each message of this incarnation.
+        born_ms: Unix milliseconds of its start; None if it did not say.
     """
 
     instance_id: str
@@ -42,6 +48,15 @@
     leaving: bool
     warm_in_s: float
     sequence: int
+    born_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Start:
+    """Names an incarnation."""
+
+    instance_id: str
+    born_ms: int | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,7 +70,7 @@
     """The incarnations that one node has heard of."""
 
     def __init__(self) -> None:
-        self._known: collections.OrderedDict[str, _Known] = (
+        self._known: collections.OrderedDict[_Start, _Known] = (
             collections.OrderedDict()
         )
         self._current: Heartbeat | None = None
@@ -71,18 +86,19 @@
         Returns:
             Whether it is from the incarnation in service now.
         """
-        known = self._known.get(beat.instance_id)
+        start = _start_of(beat)
+        known = self._find(start)
         if known is not None and beat.sequence <= known.sequence:
             return False
         if known is None:
-            known = self._remember(beat)
+            known = self._remember(start, beat)
         known.sequence = beat.sequence
         known.leaving = known.leaving or beat.leaving
         known.fresh += 1
         if known.leaving:
             beat = dataclasses.replace(beat, leaving=True)
         current = self._current
-        same = current is not None and current.instance_id == beat.instance_id
+        same = current is not None and _start_of(current) == start
         if current is None or same:
             if known.leaving and not same:
                 return False
@@ -93,32 +109,69 @@
     def leave(self, instance_id: str) -> bool:
         """Notes that an incarnation said it leaves.
 
+        It names no start. Meant is the one in service if it has this id, and
+        else the one that was heard of last.
+
         Returns:
             Whether it is the one in service.
         """
-        known = self._known.get(instance_id)
-        if known is None:
-            self._known[instance_id] = _Known(0, leaving=True)
-            self._trim()
-            return False
-        known.leaving = True
         current = self._current
-        if current is None or current.instance_id != instance_id:
-            return False
-        self._current = dataclasses.replace(current, leaving=True)
-        return True
+        if current is not None and current.instance_id == instance_id:
+            known = self._find(_start_of(current))
+            if known is not None:
+                known.leaving = True
+            self._current = dataclasses.replace(current, leaving=True)
+            return True
+        latest = self._latest(instance_id)
+        if latest is None:
+            # The end overtook the first heartbeat, whose start it is about.
+            latest = self._known[_Start(instance_id, None)] = _Known(0)
+            self._trim()
+        latest.leaving = True
+        return False
 
     def not_there(self, instance_id: str) -> None:
         """Notes that another incarnation answered in place of this one."""
         current = self._current
         if current is not None and current.instance_id == instance_id:
             self._current = None
-            self._known[instance_id].fresh = 0
+            known = self._find(_start_of(current))
+            if known is not None:
+                known.fresh = 0
+
+    def _find(self, start: _Start) -> _Known | None:
+        """Returns what is known of a start.
+
+        What was heard without a time of birth, of a health check or an end,
+        is taken for what is known of the first start that tells one.
+        """
+        known = self._known.get(start)
+        if known is not None or start.born_ms is None:
+            return known
+        unborn = _Start(start.instance_id, None)
+        known = self._known.pop(unborn, None)
+        if known is None:
+            return None
+        self._known[start] = known
+        current = self._current
+        if current is not None and _start_of(current) == unborn:
+            self._current = dataclasses.replace(current, born_ms=start.born_ms)
+        return known
 
-    def _remember(self, beat: Heartbeat) -> _Known:
+    def _latest(self, instance_id: str) -> _Known | None:
+        for start in reversed(self._known):
+            if start.instance_id == instance_id:
+                return self._known[start]
+        return None
+
+    def _remember(self, start: _Start, beat: Heartbeat) -> _Known:
         # One that was never heard of is a new start: it counts at once.
-        known = _Known(beat.sequence - 1, fresh=_FRESH_TO_RETURN - 1)
-        self._known[beat.instance_id] = known
+        fresh = _FRESH_TO_RETURN - 1
+        current = self._current
+        if current is not None and _is_earlier(start, _start_of(current)):
+            fresh = 0
+        known = _Known(beat.sequence - 1, fresh=fresh)
+        self._known[start] = known
         self._trim()
         return known
 
@@ -130,8 +183,21 @@
         if known.leaving or known.fresh < _FRESH_TO_RETURN:
             return False
         assert self._current is not None
-        replaced = self._known.get(self._current.instance_id)
+        replaced = self._known.get(_start_of(self._current))
         if replaced is not None:
             replaced.fresh = 0
         self._current = beat
         return True
+
+
+def _start_of(beat: Heartbeat) -> _Start:
+    return _Start(beat.instance_id, beat.born_ms)
+
+
+def _is_earlier(start: _Start, other: _Start) -> bool:
+    """Whether both have one id, and the first was born before the second."""
+    if start.instance_id != other.instance_id:
+        return False
+    if start.born_ms is None or other.born_ms is None:
+        return False
+    return start.born_ms < other.born_ms
--- a/packages/burdockfront/src/burdockfront/limits.py
+++ b/packages/burdockfront/src/burdockfront/limits.py
@@ -34,6 +34,7 @@
         self, slots: int, ramp_s: float, now_s: float, cold: bool = False
     ):
         self._claims = slot_claims.SlotClaims(slots)
+        self._begins = False
         self._cut_to: float | None = None
         self._ramp_s = ramp_s
         self._cold_since_s = now_s if cold else None
@@ -46,12 +47,20 @@
 
     def announce(self, slots: int, cold: bool, now_s: float) -> None:
         """Takes a new announcement; a cold one starts the ramp again."""
-        if slots != self._claims.claimed:
+        if self._begins:
+            self._begins = False
+            self._claims = slot_claims.SlotClaims(slots)
+            self._cut_to = None
+        elif slots != self._claims.claimed:
             self._claims.claim(slots)
             self._cut_to = None
         if cold:
             self._cold_since_s = now_s
 
+    def begin_anew(self) -> None:
+        """Notes that the next announcement is that of another start."""
+        self._begins = True
+
     def completed(self, service_s: float, in_use: int, now_s: float) -> None:
         """Learns from a request that ended with `in_use` slots in use."""
         self._claims.completed(service_s, in_use, now_s)
--- a/packages/burdockfront/src/burdockfront/routes.py
+++ b/packages/burdockfront/src/burdockfront/routes.py
@@ -153,6 +153,7 @@
         self._rng = rng
         self.limits = CallerLimits()
         self._table: RouteTable | None = None
+        self._services: frozenset[str] = frozenset()
         self._by_prefix: dict[tuple[str, str], Route] = {}
         self._splits: dict[tuple[str, str], _Split] = {}
 
@@ -174,6 +175,10 @@
                 return entry.path
         return ""
 
+    def names(self, service: str) -> bool:
+        """Whether operators named a service."""
+        return service in self._services
+
     def accept(self, table: RouteTable) -> bool:
         """Puts a table in force if it is newer than the one in force.
 
@@ -184,6 +189,14 @@
             return False
         self._table = table
         self.limits = table.limits
+        self._services = frozenset(
+            entry.service for entry in table.health_paths
+        ) | frozenset(
+            share.service
+            for host in table.hosts
+            for route in host.routes
+            for share in route.shares
+        )
         self._by_prefix = {
             (host.host, route.prefix): route
             for host in table.hosts
--- a/packages/burdockfront/src/burdockfront/stalls.py
+++ b/packages/burdockfront/src/burdockfront/stalls.py
@@ -13,6 +13,8 @@
 _FLOOR_S = 0.5
 _TIMES = 8.0
 _WEIGHT = 0.1
+# Until the first answer.
+_FIRST_USUAL_S = 0.05
 
 
 class StallDetector:
@@ -27,7 +29,7 @@
         self._floor_s = floor_s
         self._in_hand = 0
         self._quiet_since_s = 0.0
-        self._usual_s = 0.05
+        self._usual_s = _FIRST_USUAL_S
         self._stalled_since_s: float | None = None
 
     @property
@@ -48,6 +50,12 @@
         self._usual_s += _WEIGHT * (took_s - self._usual_s)
         self._stalled_since_s = None
 
+    def began_anew(self, now_s: float) -> None:
+        """Notes another start: the silence of the one before says nothing."""
+        self._quiet_since_s = now_s
+        self._usual_s = _FIRST_USUAL_S
+        self._stalled_since_s = None
+
     def gave_up(self) -> None:
         """Notes a request whose answer nobody waits for any more."""
         self._in_hand -= 1
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -110,7 +110,10 @@
 
 
 def a_beat(
-    instance_id: str = "i-1", sequence: int = 1, leaving: bool = False
+    instance_id: str = "i-1",
+    sequence: int = 1,
+    leaving: bool = False,
+    born_ms: int | None = None,
 ) -> incarnations.Heartbeat:
     return incarnations.Heartbeat(
         instance_id=instance_id,
@@ -121,6 +124,7 @@
         leaving=leaving,
         warm_in_s=0.0,
         sequence=sequence,
+        born_ms=born_ms,
     )
 
 
--- a/tests/unit/test_incarnations.py
+++ b/tests/unit/test_incarnations.py
@@ -71,6 +71,149 @@
     assert known.hear(builders.a_beat("i-1", sequence=2))
 
 
+def test_restart_under_the_same_id_counts_at_once():
+    # A server crashes and starts again under its id. Its numbers start anew;
+    # taken for late messages, none of them would ever be believed.
+    known = incarnations.Incarnations()
+    known.hear(builders.a_beat("i-1", sequence=40, born_ms=1000))
+    assert known.hear(builders.a_beat("i-1", sequence=1, born_ms=9000))
+    assert known.current.born_ms == 9000
+    assert known.hear(builders.a_beat("i-1", sequence=2, born_ms=9000))
+
+
+def test_restart_under_the_id_of_one_that_left_takes_work():
+    # The leave was that of the start before, and holds for it alone.
+    known = incarnations.Incarnations()
+    known.hear(builders.a_beat("i-1", sequence=4, born_ms=1000))
+    known.leave("i-1")
+    assert known.hear(builders.a_beat("i-1", sequence=1, born_ms=9000))
+    assert not known.current.leaving
+    assert not known.hear(builders.a_beat("i-1", sequence=5, born_ms=1000))
+    assert known.current.born_ms == 9000
+
+
+def test_late_message_of_an_earlier_start_changes_nothing():
+    known = incarnations.Incarnations()
+    known.hear(builders.a_beat("i-1", sequence=1, born_ms=9000))
+    assert not known.hear(builders.a_beat("i-1", sequence=40, born_ms=1000))
+    assert known.current.born_ms == 9000
+
+
+def test_restart_after_the_clock_was_set_back_is_believed_with_two_messages():
+    # Born "earlier" than the start that it follows, by its own clock. It must
+    # not be shut out for ever.
+    known = incarnations.Incarnations()
+    known.hear(builders.a_beat("i-1", sequence=7, born_ms=9000))
+    assert not known.hear(builders.a_beat("i-1", sequence=1, born_ms=4000))
+    assert known.hear(builders.a_beat("i-1", sequence=2, born_ms=4000))
+    assert known.current.born_ms == 4000
+
+
+def test_what_health_told_is_of_the_first_start_that_tells_its_birth():
+    known = incarnations.Incarnations()
+    known.hear(builders.a_beat("i-1", sequence=-1))
+    assert known.hear(builders.a_beat("i-1", sequence=5, born_ms=1000))
+    assert known.hear(builders.a_beat("i-1", sequence=1, born_ms=9000))
+
+
+def test_end_that_overtook_the_first_heartbeat_holds_for_that_start_alone():
+    known = incarnations.Incarnations()
+    known.leave("i-1")
+    assert not known.hear(builders.a_beat("i-1", sequence=7, born_ms=1000))
+    assert known.hear(builders.a_beat("i-1", sequence=1, born_ms=9000))
+
+
+class StartsAndLateMessages(stateful.RuleBasedStateMachine):
+    """A server that starts again and again, and messages that come late.
+
+    The oracle is the server itself: which start lives, and which have left.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.known = incarnations.Incarnations()
+        self.starts = 0
+        self.held: list[incarnations.Heartbeat] = []
+        self.left: set[tuple[str, int]] = set()
+        self.in_a_row = 0
+        self.start(same_id=True)
+
+    @stateful.rule(same_id=strategies.booleans())
+    def start(self, same_id: bool) -> None:
+        self.starts += 1
+        self.id = "i-0" if same_id else f"i-{self.starts}"
+        self.born_ms = 1000 * self.starts
+        self.sequence = 0
+        self.leaving = False
+        self.in_a_row = 0
+
+    def _next(self) -> incarnations.Heartbeat:
+        self.sequence += 1
+        return builders.a_beat(
+            self.id, self.sequence, self.leaving, self.born_ms
+        )
+
+    @stateful.rule()
+    def deliver(self) -> None:
+        beat = self._next()
+        self.known.hear(beat)
+        if beat.leaving:
+            self.left.add((beat.instance_id, self.born_ms))
+        self.in_a_row += 1
+        if self.in_a_row >= 2 and not self._has_left():
+            current = self.known.current
+            assert current is not None, "the one that lives is in service"
+            assert (current.instance_id, current.born_ms) == self._name()
+
+    @stateful.rule()
+    def hold_one_back(self) -> None:
+        self.held.append(self._next())
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(data=strategies.data())
+    def deliver_late(self, data: strategies.DataObject) -> None:
+        beat = data.draw(strategies.sampled_from(self.held))
+        before = self.known.current
+        self.known.hear(beat)
+        if beat.leaving:
+            self.left.add((beat.instance_id, beat.born_ms))
+        alone = self.in_a_row >= 2 and (
+            (beat.instance_id, beat.born_ms) != self._name()
+        )
+        if alone and before is not None:
+            assert self.known.current == before, "one late message is nothing"
+        self.in_a_row = 0
+
+    @stateful.rule()
+    def leave(self) -> None:
+        self.leaving = True
+        current = self.known.current
+        if current is not None and self._name() == (
+            current.instance_id,
+            current.born_ms,
+        ):
+            self.left.add(self._name())
+        self.known.leave(self.id)
+        self.in_a_row = 0
+
+    @stateful.invariant()
+    def who_left_takes_no_work(self) -> None:
+        current = self.known.current
+        if current is not None:
+            name = (current.instance_id, current.born_ms)
+            assert current.leaving or name not in self.left
+
+    def _name(self) -> tuple[str, int]:
+        return (self.id, self.born_ms)
+
+    def _has_left(self) -> bool:
+        return self.leaving or self._name() in self.left
+
+
+TestStartsAndLateMessages = StartsAndLateMessages.TestCase
+TestStartsAndLateMessages.settings = hypothesis.settings(max_examples=300)
+
+
 class LeavingNeverTakenBack(stateful.RuleBasedStateMachine):
     """Whatever arrives in whatever order, who left is not in service again."""
 
