--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -31,6 +31,8 @@
         host: Host that the caller named, where the backend server wants it.
         origin_service: Service beside which the request entered.
         target_s: An answer that takes longer is late, though of use.
+        parent_class: Class of the request that it is made for; empty if that
+            is not known.
         trail: What became of each attempt so far, for logs.
     """
 
@@ -47,6 +49,7 @@
     host: str = ""
     origin_service: str = ""
     target_s: float = math.inf
+    parent_class: str = ""
     trail: list[str] = dataclasses.field(default_factory=list)
 
     @property
--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -69,12 +69,15 @@
         reserved: Lower-case names of headers that only nodes may set.
         origin_service: Service beside this node.
         is_new_work: Tells of a class whether its requests are callers'.
+        parent_of: Returns the request at the backend server that a call is
+            made for, if its id tells.
     """
 
     book: routes.RouteBook
     reserved: frozenset[str]
     origin_service: str
     is_new_work: Callable[[str], bool]
+    parent_of: Callable[[str], context_lib.RequestContext | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -51,6 +51,7 @@
         self._origin_service = tools.routed.origin_service
         self._rng = random.Random(secrets.randbits(64))
         self._is_new_work = tools.routed.is_new_work
+        self._parent_of = tools.routed.parent_of
 
     async def __call__(
         self, entry: base.Entry, following: base.Next
@@ -90,7 +91,8 @@
         remaining_s = route.timeout_s
         if entry.caller_waits_s is not None:
             remaining_s = min(remaining_s, entry.caller_waits_s)
-        new_work = self._is_new_work(route.name)
+        parent = self._parent_of(entry.caller_request_id)
+        new_work = parent is None and self._is_new_work(route.name)
         remaining_s -= _ANSWER_MARGIN_S if new_work else _CALL_MARGIN_S
         deadline_s = entry.request.arrived_s + remaining_s
         units = max(0, route.max_attempts - 1)
@@ -99,16 +101,30 @@
         entry.routes_version = self._book.version
         entry.service = found.service
         entry.target = request.target
-        entry.context = context_lib.RequestContext(
-            request_id=entry.caller_request_id,
-            attempt_id=entry.caller_request_id,
-            class_name=route.name,
-            rank=route.rank,
-            ordinal=identify.ordinal_of(entry.caller_request_id),
-            depth=0 if new_work else 1,
-            remaining_s=deadline_s - time.monotonic(),
-            allowance=units,
-        )
+        remaining_s = deadline_s - time.monotonic()
+        if parent is None:
+            entry.context = context_lib.RequestContext(
+                request_id=entry.caller_request_id,
+                attempt_id=entry.caller_request_id,
+                class_name=route.name,
+                rank=route.rank,
+                ordinal=identify.ordinal_of(entry.caller_request_id),
+                depth=0 if new_work else 1,
+                remaining_s=remaining_s,
+                allowance=units,
+            )
+        else:
+            entry.context = context_lib.RequestContext(
+                request_id=entry.caller_request_id,
+                attempt_id=entry.caller_request_id,
+                class_name=route.name,
+                rank=parent.rank,
+                ordinal=parent.ordinal,
+                depth=parent.depth + 1,
+                remaining_s=remaining_s,
+                allowance=units,
+                parent=parent.attempt_id,
+            )
         entry.deadline_s = deadline_s
         entry.call = calls.Call(
             service=found.service,
@@ -123,6 +139,7 @@
             host=host,
             origin_service=self._origin_service,
             target_s=route.target_latency_s,
+            parent_class=parent.class_name if parent is not None else "",
         )
 
     def _passed_on(
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -11,9 +11,11 @@
 import time
 from collections.abc import Callable
 
+from burdockfront import context as context_lib
 from burdockfront import detours
 from burdockfront import levels
 from burdockfront import outcomes
+from burdockfront import running
 from burdockfront import starvation
 from burdockfront_client import calls
 
@@ -44,6 +46,7 @@
         self._starvation = starvation.StarvationBook()
         self._detours = detours.DetourBook(time.monotonic())
         self._new_work: set[str] = set()
+        self._running = running.RunningRequests()
 
     def is_new_work(self, class_name: str) -> bool:
         """Whether guards said that requests of a class are new work."""
@@ -52,6 +55,9 @@
     def classify(self, attempt: calls.Attempt) -> calls.Attempt:
         """Says of an attempt that arrives at the guard what kind it is."""
         class_name = attempt.context.class_name
+        if attempt.context.parent:
+            # A node has seen for whom it is made: a call, beyond doubt.
+            return attempt
         self._origins.heard(class_name, attempt.call.origin_service)
         new = self._origins.is_new_work(class_name, self._services())
         depth = 0 if new else 1
@@ -60,16 +66,22 @@
         context = dataclasses.replace(attempt.context, depth=depth)
         return dataclasses.replace(attempt, context=context)
 
+    def parent_of(self, request_id: str) -> context_lib.RequestContext | None:
+        """Returns the request that a call is made for, if its id tells."""
+        return self._running.parent_of(request_id)
+
     def detours_of(self, class_name: str) -> float:
         """Returns the kilobytes that requests of a class cost below."""
         return self._detours.per_request(class_name)
 
     def run_began(self, attempt: calls.Attempt) -> None:
         """Notes that a request is handed to the backend server."""
+        self._running.began(attempt.context)
         self._detours.began(attempt.context.class_name, time.monotonic())
 
     def run_left(self, attempt: calls.Attempt) -> None:
         """Notes that nobody waits for a request at the backend server."""
+        self._running.ended(attempt.context)
         self._detours.ended(attempt.context.class_name, time.monotonic())
 
     def run_ended(
@@ -92,6 +104,9 @@
     def call_ended(self, call: calls.Call, answer: outcomes.Answer) -> None:
         """Learns from the final answer to a call that was sent from here."""
         class_name = call.context.class_name
+        if call.parent_class:
+            self._linked_call_ended(call, answer)
+            return
         if answer.inner:
             self._new_work.discard(class_name)
         elif answer.load is not None:
@@ -103,3 +118,16 @@
         if no_room and class_name not in self._new_work:
             child = starvation.Child(call.service, class_name)
             self._starvation.refused(child, time.monotonic())
+
+    def _linked_call_ended(
+        self, call: calls.Call, answer: outcomes.Answer
+    ) -> None:
+        """Learns from a call whose request is known."""
+        now_s = time.monotonic()
+        class_name = call.context.class_name
+        self._new_work.discard(class_name)
+        self._detours.called_by(call.parent_class, answer.far_kb, now_s)
+        self._book.called(call.parent_class, call.service, now_s, class_name)
+        if answer.reason in _NO_ROOM or answer.starved:
+            child = starvation.Child(call.service, class_name)
+            self._starvation.refused(child, now_s)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -146,6 +146,7 @@
             self._adapter.dialect.reserved,
             self._place.service,
             self._lineage.is_new_work,
+            self._lineage.parent_of,
         )
         return base.Tools(
             self._dispatcher,
--- a/packages/burdockfront/src/burdockfront/detours.py
+++ b/packages/burdockfront/src/burdockfront/detours.py
@@ -93,6 +93,13 @@
             known.calls += share
             known.far_kb += share * far_kb
 
+    def called_by(self, class_name: str, far_kb: float, now_s: float) -> None:
+        """Notes a call that is known to be made for a request of a class."""
+        self._fade(now_s)
+        known = self._classes.setdefault(class_name, _Class())
+        known.calls += 1.0
+        known.far_kb += far_kb
+
     def per_request(self, class_name: str) -> float:
         """Returns the kilobytes that a request of a class costs below."""
         known = self._classes.get(class_name)
--- a/packages/burdockfront/src/burdockfront/incarnations.py
+++ b/packages/burdockfront/src/burdockfront/incarnations.py
@@ -103,6 +103,7 @@
             if known.leaving and not same:
                 return False
             self._current = beat
+            self._break_rows(known)
             return True
         return self._replace(known, beat)
 
@@ -179,6 +180,16 @@
         while len(self._known) > _REMEMBERED:
             self._known.popitem(last=False)
 
+    def _break_rows(self, speaker: _Known) -> None:
+        """Notes that one spoke between the messages of the others.
+
+        Else two late messages of a start that is gone, minutes apart, would
+        count as two in a row.
+        """
+        for known in self._known.values():
+            if known is not speaker:
+                known.fresh = 0
+
     def _replace(self, known: _Known, beat: Heartbeat) -> bool:
         if known.leaving or known.fresh < _FRESH_TO_RETURN:
             return False
