--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -337,12 +337,12 @@
         thirds of all bytes on a quiet day. Judged by nearness alone, one data
         centre drowns, or is always late, beside idle ones.
         """
+        typical_s = self.pace.typical_s(service, class_name) or _UNKNOWN_S
         if not view.near:
-            return self._better_of_two(view.far, now_s)
-        best = self._better_of_two(view.near, now_s)
+            return self._better_of_two(view.far, typical_s, limit_s, now_s)
+        best = self._better_of_two(view.near, typical_s, limit_s, now_s)
         if not view.far:
             return best
-        typical_s = self.pace.typical_s(service, class_name) or _UNKNOWN_S
         other = self._sooner_of_two(view.far, typical_s, now_s)
         gained = self._chance(other, typical_s, limit_s, now_s)
         gained -= self._chance(best, typical_s, limit_s, now_s)
@@ -409,10 +409,27 @@
         step = 1 + int(self._rng.random() * (count - 1))
         return targets[index], targets[(index + step) % count]
 
-    def _better_of_two(self, targets: list[Target], now_s: float) -> Target:
+    def _better_of_two(
+        self,
+        targets: list[Target],
+        typical_s: float,
+        limit_s: float,
+        now_s: float,
+    ) -> Target:
+        """Draws two, and returns the better one.
+
+        The one whose answer is more likely to come, and in time; where that
+        is about the same, the one with more room.
+        """
         first, second = self._two_of(targets)
         if second is first:
             return first
+        gained = self._chance(first, typical_s, limit_s, now_s)
+        gained -= self._chance(second, typical_s, limit_s, now_s)
+        if gained > _LEAST_GAIN:
+            return first
+        if gained < -_LEAST_GAIN:
+            return second
         if self._score(first, now_s) <= self._score(second, now_s):
             return first
         return second
--- a/tests/unit/test_ways.py
+++ b/tests/unit/test_ways.py
@@ -156,6 +156,26 @@
     assert _far_share(router, limit_s=0.4) == 1.0
 
 
+def test_of_two_near_servers_the_one_that_fails_is_avoided():
+    # Both have room. One refuses half of its requests while it looks healthy.
+    router = routing.Router("dc1", random.Random(3))
+    names = ("good", "grey")
+    router.update(
+        builders.a_target(name, data_center="dc1", slots=8) for name in names
+    )
+    for _ in range(100):
+        router.pace.failed("grey", 1.0)
+        router.pace.answered("fees", "grey", _CLASS, 0.1, 1.0)
+        router.pace.answered("fees", "good", _CLASS, 0.1, 1.0)
+    chosen = {
+        router.choose(
+            "fees", frozenset(), 1.0, class_name=_CLASS, limit_s=0.5
+        ).node_id
+        for _ in range(50)
+    }
+    assert chosen == {"good"}
+
+
 def test_server_that_is_gone_is_forgotten():
     router = _router()
     _answers(router, 0.5, 0.2)
