--- a/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
@@ -1,9 +1,11 @@
 """Command line of the operators' command."""
 
 import asyncio
+import itertools
 import pathlib
 import secrets
 import sys
+from collections.abc import Iterator
 from typing import Annotated
 
 import cyclopts
@@ -11,6 +13,7 @@
 from burdockfront import errors
 from burdockfront_ctl import commands
 from burdockfront_ctl import language
+from burdockfront_ctl import losses
 from burdockfront_ctl import nodes as nodes_lib
 from burdockfront_ctl import questions
 from burdockfront_ctl import render
@@ -73,6 +76,36 @@
     print(secrets.token_urlsafe(32))
 
 
+@app.command(name="losses")
+def show_losses(*logs: pathlib.Path) -> None:
+    """Says which requests were lost, where and why, from nodes' logs.
+
+    Example: burdockfront-ctl losses node-1.log node-2.log
+
+    Args:
+        logs: Files with lines of any number of nodes.
+    """
+    if not logs:
+        _fail(
+            errors.InvalidInputError(
+                "expected files with nodes' logs, got none; e.g. "
+                "'burdockfront-ctl losses node-1.log node-2.log'."
+            ),
+            _EXIT_BAD_INPUT,
+        )
+    lines = itertools.chain.from_iterable(map(_lines_of, logs))
+    print(losses.to_text(losses.read(lines)))
+
+
+def _lines_of(log: pathlib.Path) -> Iterator[bytes]:
+    try:
+        with log.open("rb") as file:
+            yield from file
+    except OSError as error:
+        message = f"can't read {log} ({error}); check its name."
+        _fail(errors.InvalidInputError(message), _EXIT_BAD_INPUT)
+
+
 async def run(
     loaded: settings_lib.CtlSettings, command: language.Command
 ) -> render.View:
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -395,6 +395,7 @@
             "ways.moved",
             total_bytes=moved.total(),
             most_bytes=dict(moved.most_common(_MOST_WAYS)),
+            exchanged_bytes=self._exchange.link.moved_bytes,
         )
         moved.clear()
 
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -46,6 +46,8 @@
 # Kilobytes to save before a request leaves. In an overload of all data centres
 # calls leave each of them, now more, now less; that difference is chance.
 _LEAST_SAVED_KB = 1.0
+# From this share on all requests leave for the sake of what is saved.
+_SAVED_SHARE = 0.33
 # No bytes are saved for more than one answer in twenty.
 _HARM = 0.05
 _UNKNOWN_S = 0.05
@@ -373,14 +375,16 @@
     ) -> bool:
         """Whether a request should leave here, since its calls would below.
 
-        Not all of them at once: what guards say is a second old, and a data
-        centre that got everybody's requests would be the next to be left. So
-        they go in proportion to what is saved.
+        All of them where it saves a third of what a request costs or more: a
+        service is missing here, and its work is done elsewhere in any case.
+        Below that in proportion to what is saved. What guards say is a second
+        old, and a data centre that got everybody's requests for a small gain
+        would be the next to be left.
         """
         stays_kb = self.ways.kb_of(near.node_id, class_name, now_s)
         goes_kb = way_kb + self.ways.kb_of(far.node_id, class_name, now_s)
         saved_kb = stays_kb - goes_kb - _LEAST_SAVED_KB
-        return self._rng.random() * (stays_kb + 1.0) < saved_kb
+        return self._rng.random() * _SAVED_SHARE * stays_kb < saved_kb
 
     def _expected_s(
         self, target: Target, typical_s: float, now_s: float
