--- a/packages/burdockfront/src/burdockfront/flow_level.py
+++ b/packages/burdockfront/src/burdockfront/flow_level.py
@@ -8,14 +8,15 @@
 slot time the calls that arrive will take, beside the slot time there is.
 
 What arrives now follows from the level of some windows ago, so that level is
-corrected, in proportion to what is missing or left and measured in the width of
-one rank, and the present one moves towards the result. Corrections that have
-not taken effect yet are then not made a second time. The level stops for a
-while at the border of a rank: what the lower rank needs is known only after the
-work that was let in before has left.
+corrected, in proportion to what is missing or left and measured in what the
+rank at the level adds, and the present one moves towards the result.
+Corrections that have not taken effect yet are then not made a second time. The
+level stops for a while at the border of a rank: what the lower rank needs is
+known only after the work that was let in before has left.
 """
 
 import collections
+import math
 
 from burdockfront import context
 from burdockfront import levels
@@ -26,9 +27,17 @@
 # A standing wait of this takes a tenth off the target until it has gone.
 _FULL_WAIT_S = 0.08
 _WAIT_SHARE = 0.1
-# What a whole rank of requests adds to the flow of a pressed service, about;
-# one that adds half or twice as much only settles slower.
-_RANK_FLOW = 2.0
+# What a whole rank of requests adds to the flow of a service, until that has
+# been learned. Taken for this, a rank that adds a quarter of it made the level
+# rise for ten seconds after a restart with a third of the slots idle.
+_USUAL_RANK_FLOW = 2.0
+_LEAST_RANK_FLOW = 0.3
+_RANK_FLOW_WEIGHT = 0.5
+# Less of a rank than this tells too little of the whole.
+_LEAST_ADMITTED = 0.1
+# A rank that adds less than this to the flow is hardly there; its calls may
+# bear another one.
+_LEAST_SEEN_FLOW = 0.15
 # How far the level moves at once towards where it should have been.
 _STEP_SHARE = 0.4
 # Where half of the slots are idle there is no doubt: it opens at this pace, and
@@ -59,7 +68,8 @@
         self._window_s = window_s
         self._begin_s = now_s
         self._level: float | None = None
-        self._work_s = 0.0
+        self._work_s: dict[int, float] = {}
+        self._rank_flow: dict[int, float] = {}
         self._flow = 0.0
         self._highest_rank = 1
         # Levels of the last windows, the oldest one first.
@@ -86,8 +96,8 @@
             priority: Its priority number.
             work_s: Slot time that calls of its class take.
         """
-        self._work_s += work_s
         rank = priority // context.ORDINALS
+        self._work_s[rank] = self._work_s.get(rank, 0.0) + work_s
         self._highest_rank = max(self._highest_rank, rank)
 
     def waited(self, delay_s: float) -> None:
@@ -108,16 +118,41 @@
             now_s: The current time.
         """
         elapsed_s = max(1e-3, now_s - self._begin_s)
-        flow = self._work_s / (slots * elapsed_s)
+        slot_time_s = slots * elapsed_s
+        flow = sum(self._work_s.values()) / slot_time_s
         self._flow = flow
+        self._learn_rank_flow(slot_time_s)
         wait_s = self._shortest_wait_s or 0.0
         standing = min(1.0, wait_s / _FULL_WAIT_S)
         excess = flow - (_TARGET - _WAIT_SHARE * standing)
         self._move(excess, now_s)
-        self._work_s = 0.0
+        self._work_s.clear()
         self._shortest_wait_s = None
         self._begin_s = now_s
 
+    def _learn_rank_flow(self, slot_time_s: float) -> None:
+        """Learns what the whole rank adds of which a part arrived."""
+        level = self._caused_by[0] if self._caused_by else math.inf
+        rank, admitted = self._rank_at(level)
+        found = self._work_s.get(rank, 0.0) / slot_time_s / max(admitted, 1e-3)
+        if admitted < _LEAST_ADMITTED or found < _LEAST_SEEN_FLOW:
+            return
+        known = self._rank_flow.get(rank, found)
+        learned = known + _RANK_FLOW_WEIGHT * (found - known)
+        self._rank_flow[rank] = max(_LEAST_RANK_FLOW, learned)
+
+    def _rank_at(self, level: float) -> tuple[int, float]:
+        """Returns the rank a level lies in, and which part of it is let in."""
+        top = (self._highest_rank + 1) * context.ORDINALS
+        if level >= top:
+            return self._highest_rank, 1.0
+        rank, position = divmod(level, context.ORDINALS)
+        return int(rank), position / context.ORDINALS
+
+    def _rank_flow_at(self, level: float) -> float:
+        rank, _ = self._rank_at(level)
+        return self._rank_flow.get(rank, _USUAL_RANK_FLOW)
+
     def _move(self, excess: float, now_s: float) -> None:
         """Moves the level towards where the excess would have been none."""
         top = (self._highest_rank + 1) * context.ORDINALS
@@ -127,7 +162,8 @@
             self._level = float(top)
             self._caused_by.clear()
         self._caused_by.append(self._level)
-        wanted = self._caused_by[0] - excess / _RANK_FLOW * context.ORDINALS
+        rank_flow = self._rank_flow_at(self._caused_by[0])
+        wanted = self._caused_by[0] - excess / rank_flow * context.ORDINALS
         share = (wanted - self._level) * _STEP_SHARE / context.ORDINALS
         if self._flow < _IDLE_FLOW:
             idle = 1.0 - self._flow / _IDLE_FLOW
--- a/tests/unit/test_flow_level.py
+++ b/tests/unit/test_flow_level.py
@@ -63,6 +63,21 @@
     assert max(flows) < 1.4, "no swings between idle and drowned"
 
 
+@pytest.mark.parametrize("seed", [5, 6, 7])
+def test_room_is_given_back_soon_after_a_flood(seed):
+    # All callers come back at once after a restart, for some seconds. Then
+    # browsing fits: it adds half of what the slots can do, and confirmations
+    # 0.4. Corrected by what a whole rank usually adds, four times as much, the
+    # level lagged behind for many seconds and refused what there was room for.
+    loop = _Loop(seed)
+    for _ in range(20):
+        loop.window(0.5)
+    for _ in range(14):
+        loop.window(2.5)
+    flows = [loop.window(0.5) for _ in range(16)]
+    assert sum(flows[10:]) / len(flows[10:]) > 0.85
+
+
 def test_confirmations_are_not_refused_while_browsing_can_be():
     # All of the excess is browsing. On the way down the work that was let in
     # before still arrives, and must not push the level into the rank of
