A start does not wait for listed nodes that are gone

Cause: a node that starts joined listed nodes one after the other until three knew the configuration. Ruled out: a late store (routes were in force at once), slow starts (all were up within 0.1 s of each other).

Change: eight at a time; those that don't answer 0.2 s after others did are not waited for. The test hangs on the old code.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -41,6 +41,11 @@
 # A member's news is told to the peers of one push, and three more times: by a
 # second push if other news follows, or on probes.
 _ON_PROBES = 3
+# Nodes that a start asks at the same time.
+_JOINS_AT_ONCE = 8
+# Two ways to and fro between regions, and some work there. Whoever takes longer
+# after others have answered is gone, or is found by the exchange.
+_LAST_JOINS_S = 0.2
 _PUSH_DELAY_S = 0.01
 # Members change in bunches when many are lost at once. A short wait puts a
 # bunch into one message; six such hops are still within a second.
@@ -169,6 +174,11 @@
         tables from the one seed that everybody's list begins with. And not
         with all of them: what a few don't know, the first probes repair.
 
+        Several at a time, and those that don't answer are not waited for once
+        others have. Asked one after the other, each VM that is gone but still
+        listed held up a start by half a second: after a restart of all
+        processes four of them kept every node out for a second and a half.
+
         Args:
             addresses: Whom to ask.
             enough: Ends after so many that know the configuration.
@@ -176,18 +186,43 @@
         Returns:
             How many of those asked know the configuration.
         """
-        ready = 0
-        for address in self._rng.sample(addresses, len(addresses)):
-            if address == self.membership.me.address:
-                continue
-            try:
-                ready += await self.repairs.run(address, members=True)
-            except errors.DispatchError as error:
-                _LOG.info("seed not reached", extra={"why": str(error)})
-            if ready >= enough:
-                break
+        me = self.membership.me.address
+        waiting = [
+            address
+            for address in self._rng.sample(addresses, len(addresses))
+            if address != me
+        ]
+        asking: set[asyncio.Task[bool | None]] = set()
+        answered = ready = 0
+        try:
+            while ready < enough and (waiting or asking):
+                while waiting and len(asking) < _JOINS_AT_ONCE:
+                    joining = self._join_one(waiting.pop())
+                    asking.add(asyncio.create_task(joining))
+                patience_s = _LAST_JOINS_S if answered and not waiting else None
+                done, asking = await asyncio.wait(
+                    asking,
+                    timeout=patience_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    break
+                answers = [task.result() for task in done]
+                answered += sum(answer is not None for answer in answers)
+                ready += sum(answer is True for answer in answers)
+        finally:
+            for task in asking:
+                task.cancel()
         return ready
 
+    async def _join_one(self, address: str) -> bool | None:
+        """Returns whether a node knows the configuration; None: no answer."""
+        try:
+            return await self.repairs.run(address, members=True)
+        except errors.DispatchError as error:
+            _LOG.info("seed not reached", extra={"why": str(error)})
+            return None
+
     async def close(self) -> None:
         """Tells some peers how this node left, and closes connections.
 
--- /dev/null
+++ b/tests/unit/test_joining_many.py
@@ -0,0 +1,106 @@
+"""A node that starts while many listed nodes are gone."""
+
+import asyncio
+import random
+
+from burdockfront import configuration
+from burdockfront import errors
+from burdockfront import membership
+from burdockfront import tables
+from burdockfront import timeline
+from burdockfront_node import settings
+from burdockfront_node.controllers import exchange as exchange_lib
+from tests import builders
+
+
+class _Link:
+    """Knows which nodes live; a call to any other is never answered."""
+
+    moved_bytes = 0
+
+    def __init__(self, living: set[str], ready: bool):
+        self._living = living
+        self._ready = ready
+        self.asked: list[str] = []
+        self.given_up: list[str] = []
+
+    async def ask(self, address: str, path: str, *_: object) -> object:
+        if path == exchange_lib.PUSH:
+            return {}
+        self.asked.append(address)
+        if address not in self._living:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                self.given_up.append(address)
+                raise
+        await asyncio.sleep(0)
+        empty = tables.Table().bucket_digests()
+        return {
+            "m": [],
+            "c": [],
+            "mb": empty,
+            "cb": empty,
+            "ready": self._ready,
+        }
+
+
+def _exchange(link: _Link) -> exchange_lib.Exchange:
+    rng = random.Random(1)
+    return exchange_lib.Exchange(
+        membership.Membership(
+            builders.a_member("n1"), membership.Timing(), rng
+        ),
+        configuration.Configuration(),
+        settings.GossipSettings(),
+        link,
+        timeline.Recorder("n1", "dc1", 10),
+        asyncio.Event(),
+        lambda: None,
+        rng,
+    )
+
+
+_LIVING = {f"10.0.0.{number}:1" for number in range(2, 8)}
+_GONE = {f"10.0.1.{number}:1" for number in range(2, 7)}
+
+
+def test_start_does_not_wait_for_nodes_that_are_gone():
+    # All processes are killed at once, a minute after some VMs were taken away
+    # for good; the store still lists those. No node knows the configuration
+    # from another one yet, so all of the list is asked. One after the other,
+    # the silent ones kept every node out for a second and a half.
+    async def scenario() -> None:
+        link = _Link(_LIVING, ready=False)
+        ready = await _exchange(link).join(sorted(_LIVING | _GONE), 3)
+        assert ready == 0
+        assert set(link.asked) >= _LIVING
+        await asyncio.sleep(0)
+        assert set(link.given_up) == set(link.asked) & _GONE
+
+    asyncio.run(scenario())
+
+
+def test_start_asks_no_more_than_it_needs():
+    # A place of hundreds of nodes: each start asks a handful.
+    many = {f"10.0.{number}.1:1" for number in range(200)}
+
+    async def scenario() -> None:
+        link = _Link(many, ready=True)
+        ready = await _exchange(link).join(sorted(many), 3)
+        assert ready >= 3
+        assert len(link.asked) <= 3 + exchange_lib._JOINS_AT_ONCE
+
+    asyncio.run(scenario())
+
+
+def test_nobody_who_answers_is_no_error():
+    class _Refusing(_Link):
+        async def ask(self, address: str, path: str, *_: object) -> object:
+            raise errors.DispatchError("refused")
+
+    async def scenario() -> None:
+        link = _Refusing(set(), ready=False)
+        assert await _exchange(link).join(sorted(_GONE), 3) == 0
+
+    asyncio.run(scenario())
