A call whose time ends while it connects is not sent

Cause: the timeout of an exchange is one timer since calls are leaner, begun when the request is sent; a connection that took all the time there was would have been followed by a request that runs for nobody. Conclusion: nothing is sent then, which can be said truly, and the connection is kept.

--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -88,6 +88,14 @@
             began_s = time.monotonic()
             connection = await self._open(timeout_s)
             timeout_s -= time.monotonic() - began_s
+            if timeout_s <= 0.0:
+                # Sent now, it would run for nobody; so it can still be said
+                # that it did not run.
+                self._idle.append(connection)
+                raise connection_lib.NotSentError(
+                    f"the time for a call to {self._host}:{self._port} was "
+                    f"over when the connection was there; nothing was sent."
+                )
         answer = await connection.exchange(
             request, is_own, limit_bytes, timeout_s
         )
@@ -131,6 +139,7 @@
             ) from None
         sockets.watch_silence(transport.get_extra_info("socket"))
         self.opened += 1
+        connection.idle_since_s = loop.time()
         return connection
 
     def _longest_idle_s(
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -225,3 +225,31 @@
             assert not pool._idle
 
     asyncio.run(scenario())
+
+
+def test_call_whose_time_ended_while_it_connected_is_not_sent(monkeypatch):
+    # The other side takes its time to accept. Sent after all, the request
+    # would run though its caller has been told that its time is over.
+    async def scenario() -> None:
+        answer = scripted_server.an_answer(b"one", "a")
+        async with scripted_server.serving(
+            scripted_server.Step(answer)
+        ) as server:
+            pool = pool_lib.Pool(server.address)
+            opened = pool._open
+
+            async def slow_open(timeout_s: float):
+                connection = await opened(timeout_s)
+                await asyncio.sleep(0.02)
+                return connection
+
+            monkeypatch.setattr(pool, "_open", slow_open)
+            with pytest.raises(connection_lib.NotSentError, match="was over"):
+                await pool.exchange(
+                    _REQUEST, _own("a"), _LIMIT_BYTES, False, 0.01
+                )
+            assert pool._idle[0].usable, "the connection is kept"
+            assert (await _ask(pool, "a")).body == b"one"
+            assert server.connections == 1
+
+    asyncio.run(scenario())
