--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -1,22 +1,8 @@
 """Brings one call to an answer: choose, send, retry within the allowance.
 
-What may be done after an attempt follows from what is known of it:
-
-| known                  | idempotent          | ticket of ours | caller's |
-|------------------------|---------------------|----------------|----------|
-| `done`                 | return              | return         | return   |
-| provably not run       | reroute (bounded)   | reroute, with  | return   |
-|                        |                     | a new ticket   |          |
-| rejected by the        | send again (retry   | the same, with | return   |
-| backend server         | ratio)              | a new ticket   |          |
-| sent, answer lost      | retry (allowance)   | ask the same owner again  |
-|                        |                     | (allowance)               |
-
-A refusal says `not-run` only if every attempt of this call provably ran
-nowhere; one lost answer turns the end into `unknown`.
+What follows after an attempt is decided by `verdicts`.
 """
 
-import dataclasses
 import random
 import time
 from collections.abc import Callable
@@ -27,49 +13,16 @@
 from burdockfront import levels
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
-from burdockfront import retries
 from burdockfront import routing
 from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import calls
 from burdockfront_client import sender as sender_lib
+from burdockfront_client import verdicts
 
-_MIN_REMAINING_S = 0.002
-# Of the retry ratio that operators allow; the rest is for what is counted in
-# another window than it was earned in.
-_RATIO_USED = 0.9
-# Of a server that refuses half of everything, 99 in 100 calls are taken within
-# so many more tries; each costs a token of the retry ratio.
-_MOST_REJECTIONS = 6
 # A call of a backend server is one of several that a request makes, one after
 # the other, as a rule; no single one may take all the time that is left.
 _SHARE_OF_A_CALL = 0.5
-_LEVEL_REFUSALS = frozenset(
-    [outcomes.Reason.SHED, outcomes.Reason.OVERLOAD_DEEPER]
-)
-_BACKEND_REFUSALS = frozenset(
-    [outcomes.Reason.REJECTED, outcomes.Reason.OTHER_INCARNATION]
-)
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """What is known so far of one call.
-
-    Attributes:
-        tried: Guards that should not be asked again.
-        handed: Guards whose backend server was handed the call, or may have.
-        rejections: Times that it was sent again after a rejection.
-    """
-
-    tried: set[str] = dataclasses.field(default_factory=set)
-    handed: set[str] = dataclasses.field(default_factory=set)
-    last: routing.Target | None = None
-    rejections: int = 0
-    reroutes: int = 0
-    hop_retries: int = 0
-    lost: bool = False
-    refusal: outcomes.Answer | None = None
 
 
 class Dispatcher:
@@ -101,7 +54,6 @@
         retry_burst: float = allowance_lib.DEFAULT_BURST,
         waits_longer: bool = False,
     ):
-        self._retry_burst = retry_burst
         # Learns from final answers, where contexts do not travel.
         self.observer: Callable[[calls.Call, outcomes.Answer], None] | None
         self.observer = None
@@ -122,20 +74,18 @@
         self._policy_of = policy_of
         self._ticket_lifetime_s = ticket_lifetime_s
         self._rng = rng
-        self._ratios: dict[str, allowance_lib.RetryRatio] = {}
+        self._verdicts = verdicts.Verdicts(
+            policy_of, self.counters, retry_burst
+        )
 
     @property
     def services_remembered(self) -> int:
         """Services that this process keeps a retry ratio for."""
-        return len(self._ratios)
+        return self._verdicts.services_remembered
 
     def set_retry_burst(self, burst: float) -> None:
         """Takes how many retries of a service may be spent unearned."""
-        if burst == self._retry_burst:
-            return
-        self._retry_burst = burst
-        for ratio in self._ratios.values():
-            ratio.set_burst(burst)
+        self._verdicts.set_retry_burst(burst)
 
     def new_id(self) -> str:
         """Returns an id that no other process uses."""
@@ -178,37 +128,38 @@
             )
         if not self.router.targets_of(call.service):
             # Nothing may be kept for it: callers can make up names for ever.
-            progress = _Progress(lost=call.ticket is not None)
-            return self._honest(self._no_target(call, progress), progress)
-        self._ratio(call.service).first_try(
-            time.monotonic(), call.context.repeated
-        )
+            progress = verdicts.Progress(lost=call.ticket is not None)
+            return verdicts.honest(self._no_target(call, progress), progress)
+        self._verdicts.first_try(call)
         if call.ticket is not None:
             return await self._call_owner(call, call.ticket)
         return await self._call_anyone(call)
 
     async def _call_anyone(self, call: calls.Call) -> outcomes.Answer:
         """A call that any guard may take, one of them at a time."""
-        progress = _Progress()
+        progress = verdicts.Progress()
         while True:
             target = self._choose(call, progress)
             if isinstance(target, outcomes.Answer):
-                return self._honest(target, progress)
+                return verdicts.honest(target, progress)
             progress.tried.add(target.node_id)
             progress.last = target
             if call.idempotent:
                 sent = await self._send(call, target, None)
             else:
                 sent = await self._send_once(call, target, progress)
-            if _may_have_arrived(sent):
+            if verdicts.may_have_arrived(sent):
                 call.arrivals += 1
                 progress.handed.add(target.node_id)
-            final = self._judge(call, sent, progress)
+            final = self._verdicts.judge(call, sent, progress)
             if final is not None:
-                return self._honest(final, progress)
+                return verdicts.honest(final, progress)
 
     async def _send_once(
-        self, call: calls.Call, target: routing.Target, progress: _Progress
+        self,
+        call: calls.Call,
+        target: routing.Target,
+        progress: verdicts.Progress,
     ) -> calls.Sent:
         """Sends a call that must not repeat, with a ticket of our own.
 
@@ -221,7 +172,7 @@
         sent = await self._send(call, target, ticket)
         asked = sent.fate is calls.Fate.LOST
         while sent.fate is not calls.Fate.ANSWERED and asked:
-            if not self._may_retry(call, progress):
+            if not self._verdicts.may_retry(call, progress):
                 unknown = outcomes.unknown(outcomes.Reason.LOST_ANSWER)
                 return calls.Sent(calls.Fate.ANSWERED, unknown)
             sent = await self._send(call, target, ticket)
@@ -235,7 +186,7 @@
         Nothing but the owner's word proves `not-run` here: an earlier
         attempt with the same ticket may be running at the owner.
         """
-        progress = _Progress()
+        progress = verdicts.Progress()
         moves = 1 + self._policy_of(call.service).retry.reroutes
         for _ in range(moves):
             owner = self.router.find(call.service, ticket.owner)
@@ -254,96 +205,17 @@
         call: calls.Call,
         owner: routing.Target,
         ticket: tickets.Ticket,
-        progress: _Progress,
+        progress: verdicts.Progress,
     ) -> outcomes.Answer:
         while True:
             sent = await self._send(call, owner, ticket)
             if sent.answer is not None:
                 return sent.answer
-            if not self._may_retry(call, progress):
+            if not self._verdicts.may_retry(call, progress):
                 return outcomes.unknown(
                     outcomes.Reason.LOST_ANSWER, admission.RETRY_AFTER_S
                 )
 
-    def _judge(
-        self, call: calls.Call, sent: calls.Sent, progress: _Progress
-    ) -> outcomes.Answer | None:
-        """Returns the final answer, or None when the call goes on."""
-        if sent.fate is calls.Fate.UNREACHED:
-            refusal = outcomes.not_run(
-                outcomes.Reason.UNREACHABLE, admission.RETRY_AFTER_S
-            )
-            return self._after_refusal(call, refusal, progress)
-        if sent.answer is None:
-            lost = outcomes.unknown(
-                outcomes.Reason.LOST_ANSWER, admission.RETRY_AFTER_S
-            )
-            return self._after_loss(call, lost, progress)
-        if sent.answer.outcome is outcomes.Outcome.NOT_RUN:
-            return self._after_refusal(call, sent.answer, progress)
-        if sent.answer.outcome is outcomes.Outcome.UNKNOWN:
-            return self._after_loss(call, sent.answer, progress)
-        return self._after_done(call, sent.answer, progress)
-
-    def _after_loss(
-        self, call: calls.Call, lost: outcomes.Answer, progress: _Progress
-    ) -> outcomes.Answer | None:
-        progress.lost = True
-        if call.idempotent and self._may_retry(call, progress):
-            return None
-        return lost
-
-    def _after_done(
-        self, call: calls.Call, answer: outcomes.Answer, progress: _Progress
-    ) -> outcomes.Answer | None:
-        kind = self._retry_kind(call.service)
-        wanted = kind.retries_errors and answer.status >= 500
-        if wanted and call.idempotent and self._may_retry(call, progress):
-            return None
-        return answer
-
-    def _after_refusal(
-        self, call: calls.Call, refusal: outcomes.Answer, progress: _Progress
-    ) -> outcomes.Answer | None:
-        """Goes on elsewhere after a provable not-run, within a bound."""
-        progress.refusal = refusal
-        rules = self._policy_of(call.service).retry
-        if self._retry_kind(call.service).retries_refusals:
-            if self._may_retry(call, progress):
-                progress.tried.clear()
-                return None
-            return refusal
-        if refusal.reason in _BACKEND_REFUSALS:
-            return self._after_rejection(call, refusal, progress)
-        in_bound = progress.reroutes < rules.reroutes
-        if in_bound and refusal.reason not in _LEVEL_REFUSALS:
-            progress.reroutes += 1
-            self.counters.reroutes += 1
-            return None
-        return refusal
-
-    def _after_rejection(
-        self, call: calls.Call, refusal: outcomes.Answer, progress: _Progress
-    ) -> outcomes.Answer | None:
-        """Goes on after a backend server's own refusal.
-
-        It was handed the request, and all that goes on after it adds to the
-        load like a retry, so it is bounded like one. The same server may be
-        asked again: one that refuses a part of all requests, whatever its
-        load, takes the next as likely as any other, and is nearer.
-        """
-        if progress.rejections >= _MOST_REJECTIONS:
-            return refusal
-        ratio = self._ratio(call.service)
-        if not ratio.retry(time.monotonic(), call.context.priority):
-            return refusal
-        progress.rejections += 1
-        self.counters.reroutes += 1
-        if refusal.reason is outcomes.Reason.REJECTED:
-            assert progress.last is not None
-            progress.tried.discard(progress.last.node_id)
-        return None
-
     async def _send(
         self,
         call: calls.Call,
@@ -351,7 +223,9 @@
         ticket: tickets.Ticket | None,
     ) -> calls.Sent:
         policy = self._policy_of(call.service)
-        timeout_s = max(_MIN_REMAINING_S, call.deadline_s - time.monotonic())
+        timeout_s = max(
+            verdicts.MIN_REMAINING_S, call.deadline_s - time.monotonic()
+        )
         if ticket is None:
             timeout_s = min(timeout_s, policy.attempt_timeout_s)
         sent = await self.sender.send(
@@ -366,10 +240,10 @@
         return sent
 
     def _choose(
-        self, call: calls.Call, progress: _Progress
+        self, call: calls.Call, progress: verdicts.Progress
     ) -> routing.Target | outcomes.Answer:
         now_s = time.monotonic()
-        if call.deadline_s - now_s <= _MIN_REMAINING_S:
+        if call.deadline_s - now_s <= verdicts.MIN_REMAINING_S:
             return outcomes.not_run(
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
             )
@@ -397,7 +271,7 @@
         return target
 
     def _choose_again(
-        self, call: calls.Call, progress: _Progress
+        self, call: calls.Call, progress: verdicts.Progress
     ) -> routing.Target | outcomes.Answer:
         """Returns the guard asked last: no further one may be handed it."""
         last = progress.last
@@ -416,7 +290,7 @@
         return context.priority > level + levels.ENTRY_SLACK
 
     def _no_target(
-        self, call: calls.Call, progress: _Progress
+        self, call: calls.Call, progress: verdicts.Progress
     ) -> outcomes.Answer:
         if progress.refusal is not None:
             return progress.refusal
@@ -426,53 +300,6 @@
             reason = outcomes.Reason.NO_BACKEND
         return outcomes.not_run(reason, admission.RETRY_AFTER_S)
 
-    def _honest(
-        self, answer: outcomes.Answer, progress: _Progress
-    ) -> outcomes.Answer:
-        """Returns `unknown` in place of a `not-run` that can't be proved."""
-        refused = answer.outcome is outcomes.Outcome.NOT_RUN
-        if not (refused and progress.lost):
-            return answer
-        reason = answer.reason or outcomes.Reason.LOST_ANSWER
-        return outcomes.unknown(reason, answer.retry_after_s)
-
-    def _may_retry(self, call: calls.Call, progress: _Progress) -> bool:
-        now_s = time.monotonic()
-        if call.deadline_s - now_s <= _MIN_REMAINING_S:
-            return False
-        permitted = self._retry_kind(call.service).permits(
-            call.pool,
-            self._ratio(call.service),
-            progress.hop_retries,
-            self._policy_of(call.service).retry,
-            now_s,
-            call.context.priority,
-        )
-        if permitted:
-            progress.hop_retries += 1
-            self.counters.retries += 1
-        return permitted
-
-    def _retry_kind(self, service: str) -> retries.RetryKind:
-        return retries.KINDS.get(self._policy_of(service).retry.kind)()
-
-    def _ratio(self, service: str) -> allowance_lib.RetryRatio:
-        ratio = self._ratios.get(service)
-        if ratio is None:
-            share = self._policy_of(service).retry.ratio * _RATIO_USED
-            ratio = allowance_lib.RetryRatio(share, self._retry_burst)
-            self._ratios[service] = ratio
-        return ratio
-
-
-def _may_have_arrived(sent: calls.Sent) -> bool:
-    """Whether an attempt may have reached a backend server."""
-    if sent.answer is None:
-        return sent.fate is calls.Fate.LOST
-    if sent.answer.outcome is outcomes.Outcome.NOT_RUN:
-        return sent.answer.reason in _BACKEND_REFUSALS
-    return True
-
 
 def _limit_s(call: calls.Call, now_s: float) -> float:
     """Returns after how long an answer is of little value."""
