--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -9,6 +9,7 @@
 
 from burdockfront import admission
 from burdockfront import allowance as allowance_lib
+from burdockfront import guards
 from burdockfront import keyring as keyring_lib
 from burdockfront import levels
 from burdockfront import outcomes
@@ -100,7 +101,7 @@
         )
         return self.mint_for(owner) if owner is not None else None
 
-    def mint_for(self, owner: routing.Target) -> tickets.Ticket:
+    def mint_for(self, owner: guards.Target) -> tickets.Ticket:
         """Returns a ticket that names one guard as its owner."""
         return tickets.Ticket(
             nonce=self.new_id(),
@@ -158,7 +159,7 @@
     async def _send_once(
         self,
         call: calls.Call,
-        target: routing.Target,
+        target: guards.Target,
         progress: verdicts.Progress,
     ) -> calls.Sent:
         """Sends a call that must not repeat, with a ticket of our own.
@@ -203,7 +204,7 @@
     async def _ask_owner(
         self,
         call: calls.Call,
-        owner: routing.Target,
+        owner: guards.Target,
         ticket: tickets.Ticket,
         progress: verdicts.Progress,
     ) -> outcomes.Answer:
@@ -219,7 +220,7 @@
     async def _send(
         self,
         call: calls.Call,
-        target: routing.Target,
+        target: guards.Target,
         ticket: tickets.Ticket | None,
     ) -> calls.Sent:
         policy = self._policy_of(call.service)
@@ -241,7 +242,7 @@
 
     def _choose(
         self, call: calls.Call, progress: verdicts.Progress
-    ) -> routing.Target | outcomes.Answer:
+    ) -> guards.Target | outcomes.Answer:
         now_s = time.monotonic()
         if call.deadline_s - now_s <= verdicts.MIN_REMAINING_S:
             return outcomes.not_run(
@@ -272,7 +273,7 @@
 
     def _choose_again(
         self, call: calls.Call, progress: verdicts.Progress
-    ) -> routing.Target | outcomes.Answer:
+    ) -> guards.Target | outcomes.Answer:
         """Returns the guard asked last: no further one may be handed it."""
         last = progress.last
         assert last is not None
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -10,6 +10,7 @@
 
 from burdockfront import context as context_lib
 from burdockfront import errors
+from burdockfront import guards
 from burdockfront import keyring as keyring_lib
 from burdockfront import levels
 from burdockfront import outcomes
@@ -96,7 +97,7 @@
     async def send(
         self,
         call: calls.Call,
-        target: routing.Target,
+        target: guards.Target,
         ticket: tickets.Ticket | None,
         timeout_s: float,
         overdue_s: float,
@@ -176,7 +177,7 @@
     async def _transmit(
         self,
         attempt: calls.Attempt,
-        target: routing.Target,
+        target: guards.Target,
         timeout_s: float,
         limit_bytes: int,
     ) -> outcomes.Answer:
@@ -249,7 +250,7 @@
     def _learn(
         self,
         call: calls.Call,
-        target: routing.Target,
+        target: guards.Target,
         answer: outcomes.Answer,
         elapsed_s: float,
         now_s: float,
@@ -272,7 +273,7 @@
     def _learn_pace(
         self,
         call: calls.Call,
-        target: routing.Target,
+        target: guards.Target,
         answer: outcomes.Answer,
         elapsed_s: float,
         now_s: float,
@@ -303,7 +304,7 @@
         self._recorder.record(time.time(), "router.ejected", target=node_id)
 
     def _unanswered(
-        self, call: calls.Call, target: routing.Target, unreachable: bool
+        self, call: calls.Call, target: guards.Target, unreachable: bool
     ) -> None:
         ejected = self._router.unanswered(
             target.node_id, unreachable, time.monotonic()
--- a/packages/burdockfront-client/src/burdockfront_client/verdicts.py
+++ b/packages/burdockfront-client/src/burdockfront_client/verdicts.py
@@ -22,10 +22,10 @@
 
 from burdockfront import admission
 from burdockfront import allowance as allowance_lib
+from burdockfront import guards
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import retries
-from burdockfront import routing
 from burdockfront_client import calls
 
 # Less time than this is no time: an answer takes longer.
@@ -56,7 +56,7 @@
 
     tried: set[str] = dataclasses.field(default_factory=set)
     handed: set[str] = dataclasses.field(default_factory=set)
-    last: routing.Target | None = None
+    last: guards.Target | None = None
     rejections: int = 0
     reroutes: int = 0
     hop_retries: int = 0
--- a/packages/burdockfront/src/burdockfront/membership.py
+++ b/packages/burdockfront/src/burdockfront/membership.py
@@ -27,7 +27,7 @@
 from typing import Any
 
 from burdockfront import errors
-from burdockfront import routing
+from burdockfront import guards
 from burdockfront import tables
 
 
@@ -93,9 +93,9 @@
         }
         return tables.Entry(self.node_id, version, value)
 
-    def to_target(self) -> routing.Target:
+    def to_target(self) -> guards.Target:
         """Returns what a router needs of this member."""
-        return routing.Target(
+        return guards.Target(
             node_id=self.node_id,
             boot_id=self.boot_id,
             service=self.service,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,7 @@
 
 from burdockfront import admission
 from burdockfront import context
+from burdockfront import guards
 from burdockfront import incarnations
 from burdockfront import keyring
 from burdockfront import limits
@@ -11,7 +12,6 @@
 from burdockfront import outcomes
 from burdockfront import policy
 from burdockfront import routes
-from burdockfront import routing
 from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import dispatcher
@@ -48,7 +48,7 @@
     return tickets.Ticket(**{**fields, **changes})
 
 
-def a_target(node_id: str = "n1", **changes: object) -> routing.Target:
+def a_target(node_id: str = "n1", **changes: object) -> guards.Target:
     fields = {
         "node_id": node_id,
         "boot_id": f"{node_id}-boot",
@@ -57,7 +57,7 @@
         "data_center": "dc1",
         "slots": 4,
     }
-    return routing.Target(**{**fields, **changes})
+    return guards.Target(**{**fields, **changes})
 
 
 def a_member(node_id: str = "n1", **changes: object) -> membership.Member:
