The body of a request has a time of its own

Cause: one timer bounds a request that is not whole yet; begun with a head that came in two parts it ran on into the body, which may take five times as long. Found by reading; the test is red without the change. Conclusion: the end of a head ends its timer.

--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -181,6 +181,9 @@
     def on_headers_complete(self) -> None:
         """Ends a head; one that is too large ends the connection."""
         self._in_head = False
+        if self._read_timer is not None:
+            # The body has a time of its own.
+            self._stop_read_timer()
         large = self._head_bytes > self._serving.limits_of().header_bytes
         if large or self._head_shares_segment:
             self._check_head_size()
