--- a/tests/unit/test_many_nodes.py
+++ b/tests/unit/test_many_nodes.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from burdockfront import watchers
 from burdockfront_bench import exchange_model
 from burdockfront_bench import virtual_time
 
@@ -93,6 +94,25 @@
     assert max(virtual_time.run(scenario())) < _IN_FORCE_S
 
 
+@_SIZES
+@_SEEDS
+def test_others_watch_when_all_who_watched_are_turned_away(nodes, places, seed):
+    # The store turns away just those who watch for all. Their watches break off
+    # and they say so; nobody else would ask the store, and a change that is
+    # accepted a moment later would be in force nowhere.
+    async def scenario() -> float:
+        fleet = await _a_settled_fleet(nodes, places, seed)
+        node = next(iter(fleet.nodes.values()))
+        chosen = watchers.watchers_of(node.membership)
+        fleet.faults.store_refuses.update(m.node_id for m in chosen)
+        # Each learns of it at the end of its watch, woken by a first change.
+        fleet.change_routes(2)
+        await asyncio.sleep(1.0)
+        return await _in_force_s(fleet, 3)
+
+    assert virtual_time.run(scenario()) < _IN_FORCE_S
+
+
 @_SIZES
 @_SEEDS
 def test_change_reaches_nodes_that_are_cut_off_from_all_others(
