--- a/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
@@ -21,6 +21,7 @@
 
 from burdockfront import configuration as configuration_lib
 from burdockfront import errors
+from burdockfront import members as members_lib
 from burdockfront import membership as membership_lib
 from burdockfront import platform_budget
 from burdockfront import routes as routes_lib
@@ -239,12 +240,12 @@
         self.data_center = f"dc{number % fleet.data_centers}"
         rng = random.Random(f"{fleet.seed} {number} {incarnation}")
         recorder = timeline.Recorder(self.name, self.data_center, 10)
-        me = membership_lib.Member(
+        me = members_lib.Member(
             node_id=self.name,
             boot_id=f"{rng.getrandbits(48):012x}",
             incarnation=incarnation,
             revision=0,
-            status=membership_lib.Status.ALIVE,
+            status=members_lib.Status.ALIVE,
             address=_address_of(number),
             data_center=self.data_center,
             region="region",
--- a/packages/burdockfront-bench/src/burdockfront_bench/slopes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/slopes.py
@@ -15,7 +15,7 @@
 import uvloop
 
 from burdockfront import ledger as ledger_lib
-from burdockfront import membership
+from burdockfront import members
 from burdockfront import outcomes
 from burdockfront import tickets
 from burdockfront import timeline
@@ -72,13 +72,13 @@
     return recorder
 
 
-def _member(number: int) -> membership.Member:
-    return membership.Member(
+def _member(number: int) -> members.Member:
+    return members.Member(
         node_id=f"service-{number}",
         boot_id=f"{number:012x}",
         incarnation=1_790_000_000_000 + number,
         revision=3,
-        status=membership.Status.ALIVE,
+        status=members.Status.ALIVE,
         address=f"10.0.{number % 250}.7:7100",
         data_center=f"dc{number % 6}",
         region="region-1",
--- a/packages/burdockfront-client/src/burdockfront_client/embedded.py
+++ b/packages/burdockfront-client/src/burdockfront_client/embedded.py
@@ -25,7 +25,7 @@
 from burdockfront import context as context_lib
 from burdockfront import errors
 from burdockfront import keyring as keyring_lib
-from burdockfront import membership
+from burdockfront import members as members_lib
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import tables
@@ -133,7 +133,7 @@
             )
         data = orjson.loads(reply.body)
         members = [
-            membership.member_from_entry(tables.entry_from_json(entry))
+            members_lib.member_from_entry(tables.entry_from_json(entry))
             for entry in data["members"]
         ]
         self.dispatcher.router.update(m.to_target() for m in members)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -22,6 +22,7 @@
 from burdockfront import configuration as configuration_lib
 from burdockfront import errors
 from burdockfront import exchange_pace
+from burdockfront import members as members_lib
 from burdockfront import membership as membership_lib
 from burdockfront import tables
 from burdockfront import timeline
@@ -301,16 +302,16 @@
         for change in self.membership.advance(time.monotonic()):
             self._note_member(change)
 
-    async def _probe(self, member: membership_lib.Member) -> None:
+    async def _probe(self, member: members_lib.Member) -> None:
         for _ in range(2):
             # The second try uses a new connection: the first may have met
             # one that went silent, which says nothing about the member.
             if await self._probe_once(member.address):
                 self.membership.answered(member)
                 return
-            if member.status is membership_lib.Status.ALIVE:
+            if member.status is members_lib.Status.ALIVE:
                 self._on_unanswered()
-        if member.status is membership_lib.Status.DEAD:
+        if member.status is members_lib.Status.DEAD:
             return
         if await self._reached_by_others(member):
             return
@@ -334,7 +335,7 @@
             pass
         return True
 
-    async def _reached_by_others(self, member: membership_lib.Member) -> bool:
+    async def _reached_by_others(self, member: members_lib.Member) -> bool:
         helpers = self.membership.helpers(member.node_id, _HELPERS)
         asked = [
             self.link.ask(
@@ -364,7 +365,7 @@
             spent_bytes = self.link.sent_bytes - before_bytes
             self._push_budget.spend(spent_bytes, time.monotonic())
 
-    def _listeners(self) -> list[membership_lib.Member]:
+    def _listeners(self) -> list[members_lib.Member]:
         """Returns who is told news now: near members, and few others."""
         fanout = self._settings.fanout
         near = self.membership.near_peers(fanout)
@@ -374,7 +375,7 @@
         return near + self.membership.far_peers(int(share + self._rng.random()))
 
     async def _push(
-        self, message: dict[str, Any], peers: list[membership_lib.Member]
+        self, message: dict[str, Any], peers: list[members_lib.Member]
     ) -> None:
         await asyncio.gather(
             *(self._push_to(peer.address, message) for peer in peers)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/policies.py
@@ -14,7 +14,7 @@
 
 from burdockfront import configuration as configuration_lib
 from burdockfront import errors
-from burdockfront import membership as membership_lib
+from burdockfront import members as members_lib
 from burdockfront import policy
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import platform as platform_lib
@@ -228,7 +228,7 @@
 
 
 def watchers_of(
-    members: list[membership_lib.Member], data_center: str
+    members: list[members_lib.Member], data_center: str
 ) -> list[str]:
     """Returns the ids of the nodes that watch for a data centre."""
     near = [m.node_id for m in members if m.data_center == data_center]
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -12,6 +12,7 @@
 from burdockfront import configuration as configuration_lib
 from burdockfront import keyring as keyring_lib
 from burdockfront import ledger as ledger_lib
+from burdockfront import members as members_lib
 from burdockfront import membership as membership_lib
 from burdockfront import tickets
 from burdockfront import timeline
@@ -100,12 +101,12 @@
         configuration = configuration_lib.Configuration(
             settings.policy_defaults
         )
-        me = membership_lib.Member(
+        me = members_lib.Member(
             node_id=settings.node_id,
             boot_id=self._boot_id,
             incarnation=int(time.time() * 1000),
             revision=0,
-            status=membership_lib.Status.ALIVE,
+            status=members_lib.Status.ALIVE,
             address=settings.advertised_address or settings.internal_address,
             data_center=settings.data_center,
             region=settings.region,
--- a/packages/burdockfront/src/burdockfront/watchers.py
+++ b/packages/burdockfront/src/burdockfront/watchers.py
@@ -19,6 +19,7 @@
 
 from collections.abc import Iterable
 
+from burdockfront import members as members_lib
 from burdockfront import membership as membership_lib
 
 # Half of all processes may be killed in one moment; five watchers are then all
@@ -31,7 +32,7 @@
 
 def watchers_of(
     membership: membership_lib.Membership,
-) -> list[membership_lib.Member]:
+) -> list[members_lib.Member]:
     """Returns the members that are to watch the store now."""
     data_centers = {m.data_center for m in membership.usable()}
     ranked = [membership.longest_running(name) for name in data_centers]
@@ -53,8 +54,8 @@
 
 
 def _first_of(
-    members: Iterable[membership_lib.Member],
-) -> membership_lib.Member:
+    members: Iterable[members_lib.Member],
+) -> members_lib.Member:
     """Returns the first member whom the store answers, or the very first."""
     candidates = list(members)[:_CANDIDATES]
     reached = [member for member in candidates if not member.store_away]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,7 +8,7 @@
 from burdockfront import incarnations
 from burdockfront import keyring
 from burdockfront import limits
-from burdockfront import membership
+from burdockfront import members
 from burdockfront import outcomes
 from burdockfront import policy
 from burdockfront import routes
@@ -60,18 +60,18 @@
     return guards.Target(**{**fields, **changes})
 
 
-def a_member(node_id: str = "n1", **changes: object) -> membership.Member:
+def a_member(node_id: str = "n1", **changes: object) -> members.Member:
     fields = {
         "node_id": node_id,
         "boot_id": f"{node_id}-boot",
         "incarnation": 1,
         "revision": 0,
-        "status": membership.Status.ALIVE,
+        "status": members.Status.ALIVE,
         "address": f"127.0.0.1:{1000 + len(node_id)}",
         "data_center": "dc1",
         "region": "r1",
     }
-    return membership.Member(**{**fields, **changes})
+    return members.Member(**{**fields, **changes})
 
 
 def an_admission(
--- a/tests/properties/test_exchange.py
+++ b/tests/properties/test_exchange.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies
 
 from burdockfront import configuration
+from burdockfront import members
 from burdockfront import membership
 from tests import builders
 
@@ -115,7 +116,7 @@
     @stateful.invariant()
     def every_node_believes_itself_alive(self):
         for name, node in self.nodes.items():
-            assert node.get(name).status is membership.Status.ALIVE
+            assert node.get(name).status is members.Status.ALIVE
 
     def teardown(self):
         # A quiet network: two rounds, because a refutation is news itself.
@@ -131,7 +132,7 @@
             for name in _NAMES:
                 found = node.get(name)
                 assert found.incarnation == self.nodes[name].me.incarnation
-                assert found.status is membership.Status.ALIVE
+                assert found.status is members.Status.ALIVE
 
     def _exchange(self, name, other):
         for entry in self.nodes[name].table.entries():
@@ -152,16 +153,16 @@
     me = builders.a_member("n1")
     node = membership.Membership(me, _TIMING, random.Random(1))
     alive = builders.a_member("n2", revision=3)
-    dead = builders.a_member("n2", revision=3, status=membership.Status.DEAD)
+    dead = builders.a_member("n2", revision=3, status=members.Status.DEAD)
     node.merge(dead.to_entry(), 0.0)
     assert node.merge(alive.to_entry(), 1.0) is None
-    assert node.get("n2").status is membership.Status.DEAD
+    assert node.get("n2").status is members.Status.DEAD
 
 
 def test_live_node_refutes_its_suspicion_everywhere():
     me = builders.a_member("n1")
     node = membership.Membership(me, _TIMING, random.Random(1))
-    rumor = builders.a_member("n1", status=membership.Status.SUSPECT)
+    rumor = builders.a_member("n1", status=members.Status.SUSPECT)
     change = node.merge(rumor.to_entry(), 0.0)
     assert change.member.to_entry().version > rumor.to_entry().version
 
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -4,7 +4,7 @@
 import random
 import types
 
-from burdockfront import membership
+from burdockfront import members as members_lib
 from burdockfront import timeline
 from burdockfront_node.controllers import joining as joining_lib
 from tests import builders
@@ -25,7 +25,7 @@
 class _Exchange:
     """Knows some members; so many of those it asks are ready."""
 
-    def __init__(self, members: list[membership.Member], ready_peers: int):
+    def __init__(self, members: list[members_lib.Member], ready_peers: int):
         self.membership = types.SimpleNamespace(usable=lambda: members)
         self.asked: list[str] = []
         self._ready_peers = ready_peers
--- a/tests/unit/test_state.py
+++ b/tests/unit/test_state.py
@@ -7,6 +7,7 @@
 from burdockfront import configuration
 from burdockfront import errors
 from burdockfront import leases
+from burdockfront import members
 from burdockfront import membership
 from burdockfront import platform_budget
 from burdockfront import policy
@@ -136,7 +137,7 @@
     # incarnation as dead; without the jump it would stay dead for a day.
     me = builders.a_member("n1", incarnation=5)
     mine = membership.Membership(me, membership.Timing(), random.Random(1))
-    old = builders.a_member("n1", incarnation=9, status=membership.Status.DEAD)
+    old = builders.a_member("n1", incarnation=9, status=members.Status.DEAD)
     change = mine.merge(old.to_entry(), 1.0)
     assert change is not None
     assert mine.me.incarnation > 9
