Messages to peers and the store go over the connections that serve calls

One way to send HTTP instead of two; an answer that is too large has an error of its own, a retired pool closes what is still in use when it is idle.

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -38,6 +38,10 @@
     """No whole answer came in time."""
 
 
+class AnswerTooLargeError(AnswerLostError):
+    """The answer is larger than allowed; what was asked for did run."""
+
+
 @dataclasses.dataclass(slots=True)
 class RawAnswer:
     """An answer as it stood on the connection.
@@ -149,7 +153,10 @@
         self._body_bytes += len(body)
         waiting = self._waiting
         if waiting is not None and self._body_bytes > waiting.limit_bytes:
-            self._fail(f"answered more than {waiting.limit_bytes} bytes")
+            self._fail(
+                f"answered more than {waiting.limit_bytes} bytes",
+                AnswerTooLargeError,
+            )
 
     def on_message_complete(self) -> None:
         """Ends an answer."""
@@ -268,13 +275,15 @@
             )
         self.close()
 
-    def _fail(self, what: str) -> None:
+    def _fail(
+        self, what: str, kind: type[AnswerLostError] = AnswerLostError
+    ) -> None:
         self._reusable = False
         waiting = self._waiting
         if waiting is not None and not waiting.answer.done():
             waiting.answer.set_exception(
-                AnswerLostError(
-                    f"the backend server {what} before the whole answer to "
+                kind(
+                    f"the other side {what} before the whole answer to "
                     f"the request was here; the request may have run."
                 )
             )
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -1,4 +1,4 @@
-"""Connections to one backend server, kept for reuse.
+"""Connections to one address, kept for reuse.
 
 The one used last is used first, so the others grow idle and are given up. A
 connection that was idle for long may have been closed by the other side in
@@ -59,6 +59,7 @@
         self._host = host.strip("[]")
         self._port = int(port)
         self._idle: list[connection_lib.Connection] = []
+        self._retired = False
         self.opened = 0
 
     async def exchange(
@@ -99,7 +100,11 @@
         answer = await connection.exchange(
             request, is_own, limit_bytes, timeout_s
         )
-        if connection.usable:
+        if not connection.usable:
+            return answer
+        if self._retired:
+            connection.close()
+        else:
             self._idle.append(connection)
         return answer
 
@@ -109,6 +114,11 @@
             connection.close()
         self._idle.clear()
 
+    def retire(self) -> None:
+        """Closes idle connections now, and each other one when it is idle."""
+        self._retired = True
+        self.forget()
+
     def _take(self, fresh: bool) -> connection_lib.Connection | None:
         now_s = asyncio.get_running_loop().time()
         while self._idle:
