--- a/packages/burdockfront-bench/src/burdockfront_bench/bench.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/bench.py
@@ -11,7 +11,7 @@
 
 from burdockfront_bench import burst
 from burdockfront_bench import callpath
-from burdockfront_bench import exchange_model
+from burdockfront_bench import exchange_scale
 from burdockfront_bench import experiment
 from burdockfront_bench import scale
 from burdockfront_bench import slopes
@@ -46,7 +46,7 @@
 app.command(scale.main, name="scale")
 app.command(burst.main, name="burst")
 app.command(slopes.main, name="slopes")
-app.command(exchange_model.main, name="exchange")
+app.command(exchange_scale.main, name="exchange")
 
 if __name__ == "__main__":
     app()
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -13,7 +13,6 @@
 """
 
 import asyncio
-import logging
 import random
 import time
 from collections.abc import Callable
@@ -27,11 +26,10 @@
 from burdockfront import tables
 from burdockfront import timeline
 from burdockfront_node import settings as settings_lib
+from burdockfront_node.controllers import joins
 from burdockfront_node.controllers import peer_link
 from burdockfront_node.controllers import repairs as repairs_lib
 
-_LOG = logging.getLogger(__name__)
-
 PROBE = "/peer/probe"
 PROBE_FOR = "/peer/probe-for"
 PUSH = repairs_lib.PUSH
@@ -43,19 +41,11 @@
 # A member's news is told to the peers of one push, and twice more: by a second
 # push if other news follows, or on probes. Repairs bring what is missed.
 _ON_PROBES = 2
-# Nodes that a start asks at the same time.
-_JOINS_AT_ONCE = 8
-# Several ways within a region, and some work there. Whoever has not answered by
-# then is busy or gone, and others are asked besides.
-_HEDGE_S = 0.15
 # Of the nodes of a data centre, one push to three peers by each leaves out six
 # in a hundred, and two leave out one in four hundred, who hear by probes.
 _ROUTES_ROUNDS = 2
 # A node that hears of a newer table fetches it before it tells others.
 _ROUTES_ROUND_S = 0.3
-# Two ways to and fro between regions, and some work there. Whoever takes longer
-# after others have answered is gone, or is found by the exchange.
-_LAST_JOINS_S = 0.2
 _PUSH_DELAY_S = 0.01
 # Members change in bunches when many are lost at once. A short wait puts a
 # bunch into one message; six such hops are still within a second.
@@ -135,6 +125,7 @@
             self._take,
             exchange_pace.ByteBudget(rate, _BURST_BYTES),
         )
+        self._joins = joins.Joins(self.repairs, membership.me.address, rng)
 
     # ---- local changes -------------------------------------------------
 
@@ -197,70 +188,8 @@
     async def join(
         self, addresses: list[str], enough: int, configured: bool = True
     ) -> int:
-        """Exchanges everything with some nodes, drawn from `addresses`.
-
-        In any order: a data centre that starts at once would fetch whole
-        tables from the one seed that everybody's list begins with. And not
-        with all of them: what a few don't know, the first probes repair.
-
-        As many at a time as are wanted, and more where some are silent. Those
-        that don't answer are not waited for once others have. Asked one after
-        the other, each VM that is gone but still listed held up a start by half
-        a second: after a restart of all processes four of them kept every node
-        out for a second and a half. Eight at a time in any case, 194 nodes that
-        start together fetched a table of 194 members eight times each.
-
-        Args:
-            addresses: Whom to ask.
-            enough: Ends after so many that count.
-            configured: Only those that know the configuration count; otherwise
-                all that answer.
-
-        Returns:
-            How many of those asked count.
-        """
-        me = self.membership.me.address
-        waiting = [
-            address
-            for address in self._rng.sample(addresses, len(addresses))
-            if address != me
-        ]
-        asking: set[asyncio.Task[bool | None]] = set()
-        at_once = enough
-        answered = ready = counted = 0
-        try:
-            while counted < enough and (waiting or asking):
-                while waiting and len(asking) < min(at_once, _JOINS_AT_ONCE):
-                    joining = self._join_one(waiting.pop())
-                    asking.add(asyncio.create_task(joining))
-                last_s = _LAST_JOINS_S if answered else None
-                done, asking = await asyncio.wait(
-                    asking,
-                    timeout=_HEDGE_S if waiting else last_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if not done and not waiting:
-                    break
-                if not done:
-                    at_once += enough
-                answers = [task.result() for task in done]
-                answered += sum(answer is not None for answer in answers)
-                counted = answered
-                if configured:
-                    ready += sum(answer is True for answer in answers)
-                    counted = ready
-        finally:
-            for task in asking:
-                task.cancel()
-        return counted
-
-    async def _join_one(self, address: str) -> bool | None:
-        """Returns whether a node knows the configuration; None: no answer."""
-        try:
-            return await self.repairs.run(address, members=True)
-        except errors.DispatchError as error:
-            _LOG.info("seed not reached", extra={"why": str(error)})
-            return None
+        """Exchanges everything with some nodes; see `joins.Joins.run`."""
+        return await self._joins.run(addresses, enough, configured)
 
     async def close(self) -> None:
         """Tells some peers how this node left, and closes connections.
--- a/tests/unit/test_joining_many.py
+++ b/tests/unit/test_joining_many.py
@@ -10,6 +10,7 @@
 from burdockfront import timeline
 from burdockfront_node import settings
 from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import joins
 from tests import builders
 
 
@@ -89,7 +90,7 @@
         link = _Link(many, ready=True)
         ready = await _exchange(link).join(sorted(many), 3)
         assert ready >= 3
-        assert len(link.asked) <= 3 + exchange_lib._JOINS_AT_ONCE
+        assert len(link.asked) <= 3 + joins._JOINS_AT_ONCE
 
     asyncio.run(scenario())
 
