--- a/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/directory.py
@@ -219,7 +219,7 @@
         if self._lease is None:
             return
         try:
-            await self._store.end(self._lease.lease_id)
+            await self._store.end(self._lease)
         except errors.PlatformError as error:
             _LOG.info("directory not left", extra={"why": str(error)})
 
@@ -231,7 +231,7 @@
         """
         if self._lease is not None:
             try:
-                await self._store.renew(self._lease.lease_id)
+                await self._store.renew(self._lease)
                 return
             except store_lib.LeaseGoneError:
                 self._lease = None
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -138,6 +138,7 @@
             ready,
             self._take,
             exchange_pace.ByteBudget(rate, _BURST_BYTES),
+            routes_version,
         )
         self._joins = joins.Joins(self.repairs, membership.me.address, rng)
 
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/quarantine_keeper.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/quarantine_keeper.py
@@ -128,7 +128,7 @@
         lease = self._leases.get(fingerprint)
         if lease is not None:
             try:
-                await self._store.renew(lease.lease_id)
+                await self._store.renew(lease)
                 return
             except store_lib.LeaseGoneError:
                 del self._leases[fingerprint]
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/repairs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/repairs.py
@@ -37,8 +37,10 @@
         configuration: Documents that this node knows.
         crashes: Crashes of backend servers that this node knows of.
         ready: Whether this node knows the configuration.
-        take: Takes the entries of a message into both tables.
+        take: Takes the entries of a message into both tables, and the address
+            of its sender.
         budget: What repairs of members may cost.
+        routes_version: Returns the version of the table of routes in force.
     """
 
     def __init__(
@@ -48,9 +50,11 @@
         configuration: configuration_lib.Configuration,
         crashes: crashes_lib.CrashBook,
         ready: asyncio.Event,
-        take: Callable[[dict[str, Any]], None],
+        take: Callable[[dict[str, Any], str], None],
         budget: exchange_pace.ByteBudget,
+        routes_version: Callable[[], int],
     ):
+        self._routes_version = routes_version
         self.count = 0
         self._link = link
         self._membership = membership
@@ -96,7 +100,7 @@
             address, SYNC, self._question(members), _TIMEOUT_S
         )
         with understood(address):
-            self._take(answer)
+            self._take(answer, address)
             ready = bool(answer["ready"])
             lacking = self._differing(answer)
         if lacking["m"] or lacking["c"] or lacking["x"]:
@@ -114,6 +118,7 @@
             **self._question("mb" in message),
             **self._differing(message),
             "ready": self._ready.is_set(),
+            "rv": self._routes_version(),
         }
 
     def _members_due(self, their_digest: str) -> bool:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_joining.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_joining.py
@@ -67,6 +67,9 @@
             time.time(), "node.ready", routes=self._book.version
         )
 
+    def _lacks_table(self) -> bool:
+        return self._book.table is None or self._route_watch.is_behind
+
     async def _join(self) -> bool:
         try:
             await self._directory.join()
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -47,6 +47,8 @@
 # Stores keep a history of some tens of seconds. A watch from a revision that is
 # older than this may be in vain, and costs a call more than reading at once.
 _HISTORY_S = 10.0
+# A store that has no history at all must not be asked without end.
+_REREAD_PAUSE_S = 0.05
 # A waiting watch covers this and more, so a doubt costs a read and a watch.
 _DOUBT_S = 3.0
 
@@ -113,7 +115,11 @@
         self._on_return = on_return
         self._after = 0
         self._away = False
+        # Whether what was read is still the beginning of what is watched.
+        self._reads_anew = False
+        self._waiting: asyncio.Task[store_lib.Events] | None = None
         self._known = asyncio.Event()
+        self._heard: tuple[str, int] | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._chosen = False
         self._has_read = False
@@ -132,6 +138,30 @@
         self._doubts_until_s = time.monotonic() + _DOUBT_S
         self._duty.set()
 
+    def store_came_back_older(self) -> None:
+        """Notes that the store lost what it wrote last.
+
+        Revisions count on from an older one, so that of the last read may lie
+        in the future. What is in force here stays: operators write again what
+        is lost, under the version that it had.
+        """
+        self._reads_anew = True
+        self._duty.set()
+        waiting = self._waiting
+        if waiting is not None and waiting is not asyncio.current_task():
+            # It waits for changes after a revision that will be another one.
+            waiting.cancel()
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which everything was heard."""
+        return self._after
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a newer table is on its way from a peer."""
+        return self._fetching is not None and not self._fetching.done()
+
     @property
     def away(self) -> bool:
         """Whether the store did not answer the last question."""
@@ -157,9 +187,12 @@
             self._note_away(str(error))
             return False
         self._note_back()
+        self._reads_anew = False
         for item in page.items:
             self._take(item)
-        self._after = max(self._after, page.revision)
+        # Not the highest so far: a store that came back older counts anew.
+        self._after = page.revision
+        self._fetch_what_was_heard()
         return True
 
     async def watch_forever(self) -> None:
@@ -173,7 +206,7 @@
                 age_s = time.monotonic() - self._current_at_s
                 known = known and age_s < _HISTORY_S
                 continue
-            if not known:
+            if not known or self._reads_anew:
                 known = await self.read()
                 self._has_read = self._has_read or known
                 if not known:
@@ -181,9 +214,15 @@
                 continue
             known = await self._watch_once()
 
+    def _is_cancelled(self) -> bool:
+        """Whether the watch as a whole is to end."""
+        task = asyncio.current_task()
+        return task is not None and task.cancelling() > 0
+
     def _on_duty(self) -> bool:
         """Whether this node is to ask the store now."""
         doubts = time.monotonic() < self._doubts_until_s
+        doubts = doubts or self._reads_anew
         return not self._has_read or self._away or doubts or self._chosen
 
     async def _wait_for_duty(self) -> None:
@@ -192,15 +231,21 @@
 
     async def _watch_once(self) -> bool:
         """Waits for changes once; returns whether nothing was missed."""
+        watch = self._store.watch(self._prefix, self._after, _WATCH_S)
+        self._waiting = asyncio.create_task(watch)
         try:
-            events = await self._store.watch(
-                self._prefix, self._after, _WATCH_S
-            )
+            events = await self._waiting
+        except asyncio.CancelledError:
+            if not self._reads_anew or self._is_cancelled():
+                raise
+            return False
         except errors.PlatformUnavailableError as error:
             self._note_away(str(error))
             await asyncio.sleep(self._pause_s())
             return False
         except errors.PlatformError:
+            # Its history may be gone again by the time of the next watch.
+            await asyncio.sleep(_REREAD_PAUSE_S)
             return False
         self._note_back()
         self._take_all(events)
@@ -210,10 +255,20 @@
         """Takes the version in force at a peer."""
         if not address:
             return
-        fetching = self._fetching is not None and not self._fetching.done()
-        if version > self._book.version and not fetching:
+        if not self._has_read and not self._away:
+            # The store's own answer is on its way; it may be enough.
+            if self._heard is None or version > self._heard[1]:
+                self._heard = (address, version)
+            return
+        if version > self._book.version and not self.is_behind:
             self._fetching = asyncio.create_task(self._fetch(address, version))
 
+    def _fetch_what_was_heard(self) -> None:
+        """Asks who knows a newer table than the store, which may be older."""
+        heard, self._heard = self._heard, None
+        if heard is not None and heard[1] > self._book.version:
+            self._fetching = asyncio.create_task(self._fetch(*heard))
+
     async def ask_peers(self, addresses: list[str]) -> bool:
         """Asks peers one after the other until one knows a table."""
         for address in addresses:
@@ -239,14 +294,20 @@
             data = answer.get("routes")
             if data is not None:
                 self._accept(routes.table_from_json(data), f"peer {address}")
-        except (errors.DispatchError, errors.InvalidInputError) as error:
+        except errors.DispatchError as error:
             _LOG.info("no routes from a peer", extra={"why": str(error)})
+        except errors.InvalidInputError as error:
+            _LOG.warning(
+                "a peer's routes are no use", extra={"why": str(error)}
+            )
+            self.doubt()
 
     def _take_all(self, events: store_lib.Events) -> None:
         for change in events.changes:
             if isinstance(change, store_lib.Item):
                 self._take(change)
-        self._after = max(self._after, events.revision)
+        if not self._reads_anew:
+            self._after = events.revision
 
     def _take(self, item: store_lib.Item) -> None:
         try:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
@@ -16,6 +16,7 @@
 
 from burdockfront import errors
 from burdockfront import platform_budget
+from burdockfront_client import peers as peers_lib
 from burdockfront_node.controllers import store_link
 
 # Ten times the store's usual answer and some; one that is slower still ends
@@ -73,10 +74,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
-    """A lease as the store granted it."""
+    """A lease as the store granted it.
+
+    Attributes:
+        lease_id: Its name in the store.
+        duration_s: How long it lives without a renewal.
+        era: The store's era in which it was granted; in a later one the same
+            name may be somebody else's.
+    """
 
     lease_id: int
     duration_s: float
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +120,9 @@
 class Wire(Protocol):
     """Translates calls to the names of a store, and its answers back."""
 
+    def era_of(self, reply: peers_lib.Reply) -> int | None:
+        """Reads how often the store came back older; None: it doesn't say."""
+
     def page(
         self, prefix: str, after_key: str, stale: bool
     ) -> store_link.Question:
@@ -162,6 +174,7 @@
         self.link = store_link.StoreLink(
             address,
             platform_budget.Backoff(_FIRST_WAIT_S, _MOST_WAIT_S, rng),
+            read_era=wire.era_of,
         )
 
     async def read(self, prefix: str, stale: bool = False) -> Page:
@@ -229,25 +242,34 @@
         """
         question = self._wire.grant(duration_s)
         data = await self._ask(question, _TIMEOUT_S)
-        return self._understood(self._wire.read_lease, data)
+        lease = self._understood(self._wire.read_lease, data)
+        return dataclasses.replace(lease, era=self.link.era)
 
-    async def renew(self, lease_id: int) -> None:
+    async def renew(self, lease: Lease) -> None:
         """Renews a lease.
 
         Raises:
-            LeaseGoneError: It has ended.
+            LeaseGoneError: It has ended, or the store came back from a copy
+                that may not have it; then its name may be another one's.
             PlatformUnavailableError: No answer.
         """
-        await self._ask(self._wire.renew(lease_id), _TIMEOUT_S)
+        self._check_era(lease)
+        await self._ask(self._wire.renew(lease.lease_id), _TIMEOUT_S)
+        self._check_era(lease)
 
-    async def end(self, lease_id: int) -> None:
+    async def end(self, lease: Lease) -> None:
         """Ends a lease, and its keys with it.
 
         Raises:
-            LeaseGoneError: It had ended already.
+            LeaseGoneError: It had ended already; see `renew`.
             PlatformUnavailableError: No answer.
         """
-        await self._ask(self._wire.end(lease_id), _TIMEOUT_S)
+        self._check_era(lease)
+        await self._ask(self._wire.end(lease.lease_id), _TIMEOUT_S)
+
+    def _check_era(self, lease: Lease) -> None:
+        if lease.era != self.link.era:
+            raise _lease_gone()
 
     async def close(self) -> None:
         """Closes connections."""
@@ -273,9 +295,7 @@
 def _raise_refusal(status: int) -> None:
     match status:
         case http.HTTPStatus.NOT_FOUND:
-            raise LeaseGoneError(
-                "the lease has ended; ask for a new one and write again."
-            )
+            raise _lease_gone()
         case http.HTTPStatus.GONE:
             raise HistoryGoneError(
                 "the store has dropped the changes since then; read all "
@@ -287,6 +307,12 @@
             )
 
 
+def _lease_gone() -> LeaseGoneError:
+    return LeaseGoneError(
+        "the lease has ended; ask for a new one and write again."
+    )
+
+
 def decode_value(text: str) -> bytes:
     """Returns a value from the base64 text in which it travels."""
     return base64.b64decode(text, validate=True)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/store_link.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/store_link.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import time
+from collections.abc import Callable
 from collections.abc import Set
 from typing import Any
 
@@ -19,6 +20,16 @@
 _LIMIT_BYTES = 4_000_000
 _OK = 200
 
+EraReader = Callable[[peers_lib.Reply], int | None]
+
+
+def _no_era(reply: peers_lib.Reply) -> int | None:
+    return None
+
+
+def _do_nothing() -> None:
+    pass
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Question:
@@ -44,6 +55,13 @@
         address: `ip:port`.
         backoff: When to ask again after failures.
         fresh: Use no connection that was idle for a while.
+        read_era: Reads from an answer how often the store has come back from
+            an older copy of itself; None where it does not say.
+
+    Attributes:
+        era: The highest that was read; None before the first.
+        on_new_era: Called when it rises: what was written lately is gone, and
+            revisions and leases are given out again.
     """
 
     def __init__(
@@ -51,8 +69,12 @@
         address: str,
         backoff: platform_budget.Backoff,
         fresh: bool = False,
+        read_era: EraReader = _no_era,
     ):
         self._address = address
+        self._read_era = read_era
+        self.era: int | None = None
+        self.on_new_era: Callable[[], None] = _do_nothing
         self._fresh = fresh
         self._peers = peers_lib.Peers()
         self.backoff = backoff
@@ -89,6 +111,7 @@
             )
         except errors.DispatchError as error:
             raise self.failed(str(error)) from None
+        self._note_era(reply)
         if reply.status in refusals:
             self.backoff.succeeded()
             return StoreReply(reply.status, _details_of(reply.body))
@@ -101,6 +124,15 @@
         self.backoff.succeeded()
         return StoreReply(reply.status, data)
 
+    def _note_era(self, reply: peers_lib.Reply) -> None:
+        era = self._read_era(reply)
+        if era is None or (self.era is not None and era <= self.era):
+            return
+        first = self.era is None
+        self.era = era
+        if not first:
+            self.on_new_era()
+
     def failed(self, why: str) -> errors.PlatformUnavailableError:
         """Notes a failure, and returns the error that tells of it."""
         self.failures += 1
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -89,6 +89,7 @@
             self._place.store_address, self._adapter.store_wire, self._rng
         )
         self._store_link = store.link
+        store.link.on_new_era = self._store_came_back_older
         self._policies = policies_lib.Policies(None, self._exchange)
         self._quarantine_keeper = quarantine_keeper_lib.QuarantineKeeper(
             self._boot_id,
@@ -124,6 +125,21 @@
         self._directory.store_returned()
         self._quarantine_keeper.store_returned()
 
+    def _store_came_back_older(self) -> None:
+        """Forgets revisions and leases, and has written anew what is gone.
+
+        Few nodes keep anything in the store, so all may do so at once.
+        """
+        assert self._store_link is not None
+        self._recorder.record(
+            time.time(),
+            "store.older",
+            era=self._store_link.era,
+            routes=self._book.version,
+        )
+        self._route_watch.store_came_back_older()
+        self._store_returned()
+
     def _retry_burst(self) -> float:
         """Returns this node's part of the slack that all nodes share.
 
