--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -33,6 +33,7 @@
         repeatable: Whether repeating does no harm; None: judge by the method.
         host: Host that the caller named, where the backend server wants it.
         origin_service: Service beside which the request entered.
+        account: Client account whose request it is; empty for calls.
         target_s: An answer that takes longer is late, though of use.
         parent_class: Class of the request that it is made for; empty if that
             is not known.
@@ -53,6 +54,7 @@
     repeatable: bool | None = None
     host: str = ""
     origin_service: str = ""
+    account: str = ""
     target_s: float = math.inf
     parent_class: str = ""
     most_backends: int = MANY_BACKENDS
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -215,7 +215,9 @@
         call = attempt.call
         mark = wire.Mark()
         if call.host:
-            mark = wire.Mark(call.idempotent, call.host, call.origin_service)
+            mark = wire.Mark(
+                call.idempotent, call.host, call.origin_service, call.account
+            )
         # Not under the callers' own name for it: their header travels on as
         # it is, and two of one name would be taken for one another.
         ticket = ""
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -83,11 +83,13 @@
         repeatable: Whether repeating does no harm; None: judge by the method.
         host: Host that the caller named.
         origin_service: Service beside which the request entered.
+        account: Client account whose request it is; empty for calls.
     """
 
     repeatable: bool | None = None
     host: str = ""
     origin_service: str = ""
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +113,11 @@
 
 def encode_call(stamp: int, mark: Mark, ticket: str) -> str:
     """Returns the header value that describes a call; the host has its own."""
+    parts: list[object]
     parts = [stamp, mark.repeatable, mark.origin_service, ticket]
+    if mark.account:
+        # Nodes of releases that know no accounts take four parts.
+        parts.append(mark.account)
     return orjson.dumps(parts).decode("latin-1")
 
 
@@ -139,7 +145,7 @@
         elif _travels_on(name):
             kept.append(pair)
     try:
-        stamp, repeatable, origin_service, ticket = orjson.loads(
+        stamp, repeatable, origin_service, ticket, *rest = orjson.loads(
             described.encode("latin-1")
         )
     except (TypeError, ValueError):
@@ -150,7 +156,8 @@
     # Without routes the host of a call is only the address of the guard.
     mark = Mark()
     if repeatable is not None:
-        mark = Mark(repeatable, host, origin_service)
+        account = rest[0] if rest else ""
+        mark = Mark(repeatable, host, origin_service, account)
     return ToldCall(context, stamp, mark, ticket, tuple(kept))
 
 
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
@@ -2,6 +2,7 @@
 
 show members | show nodes | show policy SERVICE | show levels
 show quarantine
+show accounts
 why request ID | why class NAME at SERVICE | why node NAME
 timeline [request ID] [node NAME] [dc NAME] [kind KIND] [last N]
 history SERVICE
@@ -26,6 +27,7 @@
     | "show" "nodes" -> show_nodes
     | "show" "levels" -> show_levels
     | "show" "quarantine" -> show_quarantine
+    | "show" "accounts" -> show_accounts
     | "show" "policy" WORD -> show_policy
 why: "why" "request" WORD -> why_request
    | "why" "class" WORD "at" WORD -> why_class
@@ -155,6 +157,9 @@
     def show_levels(self, _: Any) -> Show:
         return Show("levels")
 
+    def show_accounts(self, _: Any) -> Show:
+        return Show("accounts")
+
     def show_quarantine(self, _: Any) -> Show:
         return Show("quarantine")
 
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
@@ -5,6 +5,7 @@
 
 from burdockfront import errors
 from burdockfront import timeline
+from burdockfront_ctl import accounts as accounts_lib
 from burdockfront_ctl import language
 from burdockfront_ctl import nodes as nodes_lib
 from burdockfront_ctl import render
@@ -20,6 +21,10 @@
     "no-backend": "no backend server announces itself there",
     "unreachable": "no connection could be made to the backend server",
     "lost-answer": "it was handed over, and the answer never came",
+    "unknown-key": "it bore no key, two, or one that admits nobody in the "
+    "table of that version; 'show accounts' tells which version nodes have",
+    "over-quota": "its client account had no token left over all nodes; 'show "
+    "accounts' tells its limit, and 'timeline kind quota.scarce' since when",
     "ticket-needed": "a confirmation came without a ticket",
     "ticket-bad": "its ticket is for another service or not ours",
     "ticket-owner-gone": "the node that owned its ticket is gone",
@@ -42,6 +47,8 @@
             return await _levels(nodes)
         case "quarantine":
             return await _quarantine(nodes)
+        case "accounts":
+            return await accounts_lib.show(nodes)
         case _:
             return await _policy(nodes, command.name)
 
@@ -194,7 +201,16 @@
 
 def _explain_request(found: list[timeline.Event]) -> str:
     ended = [e for e in found if e.kind == "entry.answered"]
+    turned_away = [e for e in found if e.kind == "entry.turned-away"]
     refused = [e for e in found if e.kind == "call.refused"]
+    if turned_away and not ended:
+        detail = turned_away[-1].detail
+        reason = detail["reason"]
+        whose = f" of {detail['account']}" if detail["account"] else ""
+        return (
+            f"It{whose} was turned away ({reason}) under the table of version "
+            f"{detail['routes']}: {_REASONS[reason]}."
+        )
     if not ended:
         return "It has not been answered yet, or its caller has gone."
     outcome = ended[-1].detail["outcome"]
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exposition.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exposition.py
@@ -4,6 +4,7 @@
 into text only when somebody asks. Latency is kept in histograms.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 import prometheus_client
@@ -28,6 +29,7 @@
         metrics: What is counted.
         latencies: What is measured.
         log: For the lines that it left out.
+        more: Yields further metrics.
     """
 
     def __init__(
@@ -35,7 +37,9 @@
         metrics: metrics_lib.Metrics,
         latencies: latencies_lib.Latencies,
         log: event_log.EventLog,
+        more: Callable[[], Iterator[core.Metric]],
     ):
+        self._more = more
         self._metrics = metrics
         self._log = log
         self._registry = prometheus_client.CollectorRegistry()
@@ -55,6 +59,7 @@
         yield core.CounterMetricFamily(
             _name("log.dropped"), "log lines left out", value=self._log.dropped
         )
+        yield from self._more()
 
     async def _serve(self, request: requests.Request) -> responses.Response:
         text = prometheus_client.generate_latest(self._registry)
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -308,6 +308,7 @@
             "/operator/events": operators.events,
             "/operator/drain": operators.drain,
             "/operator/release": operators.release,
+            **self._more_for_operators(),
         }
         routes = [
             internal_app.json_route(
@@ -327,6 +328,10 @@
         """Returns further handlers of peers' questions, by path."""
         return {}
 
+    def _more_for_operators(self) -> dict[str, internal_app.JsonHandler]:
+        """Returns further handlers of operators' questions, by path."""
+        return {}
+
     # ---- handlers -------------------------------------------------------
 
     def _on_announce(self, message: dict[str, object]) -> dict[str, object]:
--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from burdockfront import accounts
 from burdockfront import context as context_lib
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
@@ -38,6 +39,9 @@
         caller_request_id: Id that the caller gave, where routes want one.
         caller_waits_s: How long the caller said it will wait.
         routes_version: Version of the table that its route was found in.
+        host: Host that the caller named, where routes are found by it.
+        found: Its route.
+        account: The client account that its key admits.
     """
 
     request: messages.Request
@@ -53,6 +57,9 @@
     caller_request_id: str = ""
     caller_waits_s: float | None = None
     routes_version: int = -1
+    host: str = ""
+    found: routes.Found | None = None
+    account: accounts.Account | None = None
 
     @property
     def request_id(self) -> str:
@@ -60,6 +67,28 @@
         return self.context.request_id if self.context else ""
 
 
+class Quotas(Protocol):
+    """What client accounts may spend, as an entry sees it."""
+
+    def spend(self, account: accounts.Account, rank: int) -> float | None:
+        """Spends one request at once, if that can be decided here.
+
+        Returns:
+            0 if it is admitted; when to come back if it is not; None if
+            `ask` has to find out.
+        """
+
+    async def ask(self, account: accounts.Account, rank: int) -> float:
+        """Spends one request, after a question to another node.
+
+        Returns:
+            0 if it is admitted, or when to come back.
+        """
+
+    def give_back(self, account: accounts.Account) -> None:
+        """Takes back a request that was admitted, and ran nowhere."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutedTools:
     """What filters of a node with routes use besides.
@@ -71,6 +100,10 @@
         is_new_work: Tells of a class whether its requests are callers'.
         parent_of: Returns the request at the backend server that a call is
             made for, if its id tells.
+        key_header: Lower-case name of the header with a caller's key.
+        reserved_with_accounts: Lower-case names that only nodes may set
+            besides, where callers need a key.
+        quotas: What client accounts may spend.
     """
 
     book: routes.RouteBook
@@ -78,6 +111,9 @@
     origin_service: str
     is_new_work: Callable[[str], bool]
     parent_of: Callable[[str], context_lib.RequestContext | None]
+    key_header: str
+    reserved_with_accounts: frozenset[str]
+    quotas: Quotas
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -1,57 +1,23 @@
-"""Finds the route of a request and gives the call its terms.
+"""Finds the route of a request.
 
 For nodes whose routes come from operators' one table: host and path select the
-route, and the route says which service serves it, how often it may run, how
-much it matters and how long its caller may be kept waiting.
+route.
 """
 
-import dataclasses
-import random
-import secrets
-import time
-
-from burdockfront import allowance
-from burdockfront import context as context_lib
 from burdockfront import outcomes
-from burdockfront import routes
-from burdockfront_client import calls
-from burdockfront_client import wire
 from burdockfront_node.filters import base
-from burdockfront_node.filters import identify
 
-# A final answer still has to be written when the time is over; this is for
-# one process under load to get round to it.
-_ANSWER_MARGIN_S = 0.04
-# A call of a backend server expires with its parent, which has that margin
-# already. Taken again in each layer it added up: requests of four layers lost
-# half of a time limit of 0.8 s, and one in fifteen failed for it.
-_CALL_MARGIN_S = 0.002
-_PRESSURE = frozenset(
-    [
-        outcomes.Reason.OVERLOAD,
-        outcomes.Reason.OVERLOAD_DEEPER,
-        outcomes.Reason.SHED,
-    ]
-)
-# Of the time within which an answer has its full value.
-_RETURN_SHARES = (0.3, 0.6)
-_MOST_RETURN_S = 2.0
 # Until the first table is here. Starting takes about as long.
 _UNCONFIGURED_RETRY_S = 0.5
 
 
 @base.FILTERS.register("route")
 class RouteFilter:
-    """Sets service, context, deadline and call."""
+    """Sets route, host and the table's version."""
 
     def __init__(self, tools: base.Tools):
         assert tools.routed is not None, "the chain of a node with routes"
         self._book = tools.routed.book
-        self._reserved = tools.routed.reserved
-        self._origin_service = tools.routed.origin_service
-        self._rng = random.Random(secrets.randbits(64))
-        self._is_new_work = tools.routed.is_new_work
-        self._parent_of = tools.routed.parent_of
 
     async def __call__(
         self, entry: base.Entry, following: base.Next
@@ -63,90 +29,9 @@
                 outcomes.Reason.NO_CONFIGURATION, _UNCONFIGURED_RETRY_S
             )
         request = entry.request
-        host = request.header("host") or ""
-        found = self._book.find(host, request.target)
-        if found is None:
+        entry.host = request.header("host") or ""
+        entry.found = self._book.find(entry.host, request.target)
+        if entry.found is None:
             return outcomes.not_run(outcomes.Reason.NO_ROUTE)
-        self._prepare(entry, found, host)
-        answer = await following(entry)
-        if answer.reason not in _PRESSURE:
-            return answer
-        retry_after_s = self._when_to_return_s(found.route)
-        return dataclasses.replace(answer, retry_after_s=retry_after_s)
-
-    def _when_to_return_s(self, route: routes.Route) -> float:
-        """Returns when a caller that was refused for pressure should return.
-
-        Soon enough that an answer is still of full value then; pressure moves
-        within tenths of a second, so later is no better. Spread out, since
-        many are refused in the same moment.
-        """
-        share = self._rng.uniform(*_RETURN_SHARES)
-        return min(_MOST_RETURN_S, share * route.target_latency_s)
-
-    def _prepare(
-        self, entry: base.Entry, found: routes.Found, host: str
-    ) -> None:
-        route = found.route
-        remaining_s = route.timeout_s
-        if entry.caller_waits_s is not None:
-            remaining_s = min(remaining_s, entry.caller_waits_s)
-        parent = self._parent_of(entry.caller_request_id)
-        new_work = parent is None and self._is_new_work(route.name)
-        remaining_s -= _ANSWER_MARGIN_S if new_work else _CALL_MARGIN_S
-        deadline_s = entry.request.arrived_s + remaining_s
-        units = max(0, route.max_attempts - 1)
-        idempotent = route.repeat is routes.Repeat.IDEMPOTENT
-        request = entry.request
         entry.routes_version = self._book.version
-        entry.service = found.service
-        entry.target = request.target
-        remaining_s = deadline_s - time.monotonic()
-        if parent is None:
-            entry.context = context_lib.RequestContext(
-                request_id=entry.caller_request_id,
-                attempt_id=entry.caller_request_id,
-                class_name=route.name,
-                rank=route.rank,
-                ordinal=identify.ordinal_of(entry.caller_request_id),
-                depth=0 if new_work else 1,
-                remaining_s=remaining_s,
-                allowance=units,
-            )
-        else:
-            entry.context = context_lib.RequestContext(
-                request_id=entry.caller_request_id,
-                attempt_id=entry.caller_request_id,
-                class_name=route.name,
-                rank=parent.rank,
-                ordinal=parent.ordinal,
-                depth=parent.depth + 1,
-                remaining_s=remaining_s,
-                allowance=units,
-                parent=parent.attempt_id,
-                repeated=parent.repeated,
-            )
-        entry.deadline_s = deadline_s
-        entry.call = calls.Call(
-            service=found.service,
-            method=request.method,
-            target=request.target,
-            headers=self._passed_on(request.headers),
-            body=request.body,
-            context=entry.context,
-            deadline_s=deadline_s,
-            pool=allowance.AllowancePool(units),
-            repeatable=idempotent,
-            host=host,
-            origin_service=self._origin_service,
-            target_s=route.target_latency_s,
-            most_backends=route.max_attempts,
-            parent_class=parent.class_name if parent is not None else "",
-        )
-
-    def _passed_on(
-        self, headers: tuple[tuple[str, str], ...]
-    ) -> tuple[tuple[str, str], ...]:
-        """Returns what travels on, without what only nodes may say."""
-        kept = wire.end_to_end(headers)
-        return tuple([pair for pair in kept if pair[0] not in self._reserved])
+        return await following(entry)
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -0,0 +1,146 @@
+"""Gives a call the terms of its route and of its client account.
+
+The route says which service serves it, how often it may run, how much it
+matters and how long its caller may be kept waiting.
+"""
+
+import dataclasses
+import random
+import secrets
+import time
+
+from burdockfront import allowance
+from burdockfront import context as context_lib
+from burdockfront import outcomes
+from burdockfront import routes
+from burdockfront_client import calls
+from burdockfront_client import wire
+from burdockfront_node.filters import base
+from burdockfront_node.filters import identify
+
+# A final answer still has to be written when the time is over; this is for
+# one process under load to get round to it.
+_ANSWER_MARGIN_S = 0.04
+# A call of a backend server expires with its parent, which has that margin
+# already. Taken again in each layer it added up: requests of four layers lost
+# half of a time limit of 0.8 s, and one in fifteen failed for it.
+_CALL_MARGIN_S = 0.002
+_PRESSURE = frozenset(
+    [
+        outcomes.Reason.OVERLOAD,
+        outcomes.Reason.OVERLOAD_DEEPER,
+        outcomes.Reason.SHED,
+    ]
+)
+# Of the time within which an answer has its full value.
+_RETURN_SHARES = (0.3, 0.6)
+_MOST_RETURN_S = 2.0
+
+
+@base.FILTERS.register("terms")
+class TermsFilter:
+    """Sets service, context, deadline and call."""
+
+    def __init__(self, tools: base.Tools):
+        assert tools.routed is not None, "the chain of a node with routes"
+        self._book = tools.routed.book
+        self._reserved = tools.routed.reserved
+        self._reserved_with_accounts = (
+            tools.routed.reserved | tools.routed.reserved_with_accounts
+        )
+        self._origin_service = tools.routed.origin_service
+        self._rng = random.Random(secrets.randbits(64))
+        self._is_new_work = tools.routed.is_new_work
+        self._parent_of = tools.routed.parent_of
+
+    async def __call__(
+        self, entry: base.Entry, following: base.Next
+    ) -> outcomes.Answer:
+        """Tells callers that were refused for pressure when to return."""
+        found = entry.found
+        assert found is not None, "the route filter comes before"
+        self._prepare(entry, found)
+        answer = await following(entry)
+        if answer.reason not in _PRESSURE:
+            return answer
+        retry_after_s = self._when_to_return_s(found.route)
+        return dataclasses.replace(answer, retry_after_s=retry_after_s)
+
+    def _when_to_return_s(self, route: routes.Route) -> float:
+        """Returns when a caller that was refused for pressure should return.
+
+        Soon enough that an answer is still of full value then; pressure moves
+        within tenths of a second, so later is no better. Spread out, since
+        many are refused in the same moment.
+        """
+        share = self._rng.uniform(*_RETURN_SHARES)
+        return min(_MOST_RETURN_S, share * route.target_latency_s)
+
+    def _prepare(self, entry: base.Entry, found: routes.Found) -> None:
+        route = found.route
+        account = entry.account
+        remaining_s = route.timeout_s
+        if entry.caller_waits_s is not None:
+            remaining_s = min(remaining_s, entry.caller_waits_s)
+        parent = self._parent_of(entry.caller_request_id)
+        new_work = parent is None and self._is_new_work(route.name)
+        remaining_s -= _ANSWER_MARGIN_S if new_work else _CALL_MARGIN_S
+        deadline_s = entry.request.arrived_s + remaining_s
+        units = max(0, route.max_attempts - 1)
+        idempotent = route.repeat is routes.Repeat.IDEMPOTENT
+        request = entry.request
+        entry.service = found.service
+        entry.target = request.target
+        remaining_s = deadline_s - time.monotonic()
+        if parent is None:
+            entry.context = context_lib.RequestContext(
+                request_id=entry.caller_request_id,
+                attempt_id=entry.caller_request_id,
+                class_name=route.name,
+                rank=self._book.accounts.rank_of(account, route.rank),
+                ordinal=identify.ordinal_of(entry.caller_request_id),
+                depth=0 if new_work else 1,
+                remaining_s=remaining_s,
+                allowance=units,
+            )
+        else:
+            entry.context = context_lib.RequestContext(
+                request_id=entry.caller_request_id,
+                attempt_id=entry.caller_request_id,
+                class_name=route.name,
+                rank=parent.rank,
+                ordinal=parent.ordinal,
+                depth=parent.depth + 1,
+                remaining_s=remaining_s,
+                allowance=units,
+                parent=parent.attempt_id,
+                repeated=parent.repeated,
+            )
+        entry.deadline_s = deadline_s
+        entry.call = calls.Call(
+            service=found.service,
+            method=request.method,
+            target=request.target,
+            headers=self._passed_on(request.headers),
+            body=request.body,
+            context=entry.context,
+            deadline_s=deadline_s,
+            pool=allowance.AllowancePool(units),
+            repeatable=idempotent,
+            host=entry.host,
+            origin_service=self._origin_service,
+            target_s=route.target_latency_s,
+            most_backends=route.max_attempts,
+            parent_class=parent.class_name if parent is not None else "",
+            account=account.name if account is not None else "",
+        )
+
+    def _passed_on(
+        self, headers: tuple[tuple[str, str], ...]
+    ) -> tuple[tuple[str, str], ...]:
+        """Returns what travels on, without what only nodes may say."""
+        reserved = self._reserved
+        if self._book.accounts.in_use:
+            reserved = self._reserved_with_accounts
+        kept = wire.end_to_end(headers)
+        return tuple([pair for pair in kept if pair[0] not in reserved])
--- a/packages/burdockfront-node/src/burdockfront_node/internal_app.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_app.py
@@ -104,6 +104,7 @@
             repeatable=told.mark.repeatable,
             host=told.mark.host,
             origin_service=told.mark.origin_service,
+            account=told.mark.account,
         )
         return calls.Attempt(call, context, ticket)
 
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -15,6 +15,7 @@
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import routes as routes_lib
 from burdockfront import watchers
+from burdockfront_node import account_status as account_status_lib
 from burdockfront_node import availability
 from burdockfront_node import daemon as daemon_lib
 from burdockfront_node import daemon_parts
@@ -35,6 +36,7 @@
 from burdockfront_node.controllers import (
     quarantine_keeper as quarantine_keeper_lib,
 )
+from burdockfront_node.controllers import quota_exchange as quota_exchange_lib
 from burdockfront_node.controllers import route_joining as route_joining_lib
 from burdockfront_node.controllers import route_watch as route_watch_lib
 from burdockfront_node.controllers import store as store_lib
@@ -97,6 +99,15 @@
             self._exchange.crash_news.book,
             self._exchange.crash_news.take,
         )
+        self._quotas = quota_exchange_lib.QuotaExchange(
+            self._exchange,
+            quota_exchange_lib.BookLimits(self._book, self._place.quota_slack),
+            self._recorder,
+            self._rng,
+        )
+        self._accounts = account_status_lib.AccountStatus(
+            self._book, self._quotas
+        )
         self._exchange.crash_news.on_quarantined = self._quarantine_keeper.keep
         self._directory = directory_lib.Directory(
             store, self._exchange, self._rng, self._quarantine_keeper.take
@@ -191,6 +202,9 @@
             self._place.service,
             self._lineage.is_new_work,
             self._lineage.parent_of,
+            self._adapter.dialect.key_header,
+            self._adapter.dialect.reserved_with_accounts,
+            self._quotas,
         )
         return base.Tools(
             self._dispatcher,
@@ -228,7 +242,7 @@
             heartbeats,
         )
         exposition = exposition_lib.Exposition(
-            self._metrics, self._latencies, self._log
+            self._metrics, self._latencies, self._log, self._accounts.metrics
         )
         return [
             http_port.Port(
@@ -249,7 +263,16 @@
         async def routes(message: dict[str, object]) -> dict[str, object]:
             return self._route_watch.on_peer(message)
 
-        return {route_watch_lib.ROUTES: routes}
+        async def quotas(message: dict[str, object]) -> dict[str, object]:
+            return self._quotas.on_report(message)
+
+        return {
+            route_watch_lib.ROUTES: routes,
+            quota_exchange_lib.QUOTAS: quotas,
+        }
+
+    def _more_for_operators(self) -> dict[str, internal_app.JsonHandler]:
+        return {"/operator/accounts": self._accounts.accounts}
 
     def _is_in(self) -> bool:
         """Whether callers may be sent here."""
@@ -277,6 +300,7 @@
             self._quarantine_keeper.write_forever,
             self._quarantine_keeper.read_forever,
             self._first_look.look,
+            self._quotas.report_forever,
             *self._common_works(),
         ]
 
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -73,7 +73,10 @@
             )
         pool = self._pool_of(announced.address, current)
         terms = surroundings.BackendTerms(
-            remaining_s, current.instance_id, attempt.call.origin_service
+            remaining_s,
+            current.instance_id,
+            attempt.call.origin_service,
+            attempt.call.account,
         )
         self._attempts.begin(attempt.context)
         try:
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -81,6 +81,8 @@
         drain_s: A leaving backend server gets no new work after this.
         stop_s: A process is killed this long after it was asked to stop.
         retry_slack: Further retries of all nodes together, in each window.
+        quota_slack: Requests of a client account beyond its quota that are
+            borne, of all nodes together, in each window.
     """
 
     adapter: str
@@ -93,6 +95,7 @@
     drain_s: float = pydantic.Field(default=2.0, gt=0, le=60)
     stop_s: float = pydantic.Field(default=6.0, gt=0, le=600)
     retry_slack: float = pydantic.Field(default=40.0, ge=0)
+    quota_slack: float = pydantic.Field(default=0.0, ge=0)
 
 
 class NodeSettings(_Model):
--- a/packages/burdockfront-node/src/burdockfront_node/surroundings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/surroundings.py
@@ -47,11 +47,13 @@
         remaining_s: When to stop working on it.
         instance_id: The incarnation that it is meant for.
         origin_service: Service beside which the request entered.
+        account: Client account whose request it is; empty for calls.
     """
 
     remaining_s: float
     instance_id: str
     origin_service: str
+    account: str = ""
 
 
 class BackendWord(enum.Enum):
@@ -89,12 +91,17 @@
 
     Attributes:
         reserved: Lower-case names of headers that only nodes may set.
+        key_header: Lower-case name of the header with a caller's key.
+        reserved_with_accounts: Lower-case names that are reserved besides
+            where callers need a key.
         stays: Lower-case names of headers of answers that are not sent on
             from node to node: what the caller's node knows itself, and what
             is of use beside the backend server alone.
     """
 
     reserved: frozenset[str]
+    key_header: str
+    reserved_with_accounts: frozenset[str]
     stays: frozenset[str]
 
     def terms_of(self, headers: Headers) -> CallerTerms:
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -41,6 +41,8 @@
     UNREACHABLE = "unreachable"
     LOST_ANSWER = "lost-answer"
     QUARANTINED = "quarantined"
+    UNKNOWN_KEY = "unknown-key"
+    OVER_QUOTA = "over-quota"
     TICKET_NEEDED = "ticket-needed"
     TICKET_BAD = "ticket-bad"
     TICKET_OWNER_GONE = "ticket-owner-gone"
@@ -111,6 +113,8 @@
     Reason.UNREACHABLE: 503,
     Reason.LOST_ANSWER: 504,
     Reason.QUARANTINED: 503,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.OVER_QUOTA: 429,
     Reason.TICKET_NEEDED: 428,
     Reason.TICKET_BAD: 422,
     Reason.TICKET_OWNER_GONE: 409,
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/quota_keeper.py
@@ -0,0 +1,156 @@
+"""Deals what client accounts may spend; see `quotas`."""
+
+import dataclasses
+
+from burdockfront import quotas
+
+# Nodes report twice a second, or once if they have nothing to tell.
+_REPORTS_FOR_S = 2.0
+# Below so much its account needs tokens, above the second no longer: of a
+# bucket, or what comes in so many seconds, whichever is less. What nodes admit
+# unasked before they hear of it is taken from that.
+_SCARCE_BELOW = 0.5
+_SCARCE_BELOW_S = 1.0
+_AMPLE_ABOVE = 0.75
+_AMPLE_ABOVE_S = 1.5
+# How often those are counted who report.
+_COUNT_EVERY_S = 0.1
+# Of a bucket, kept for requests that matter more, by rank; the last for all
+# further ones.
+_RESERVES = (0.0, 0.1, 0.2, 0.3)
+# So long without any report, and others deal in this node's place.
+_TERM_S = 3.0
+_LEAST_SHARE = 1e-6
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    level: float
+    at_s: float
+
+
+class QuotaKeeper:
+    """The buckets at one node, for those who report to it.
+
+    Args:
+        limits: The limits in force.
+    """
+
+    def __init__(self, limits: quotas.Limits):
+        self._limits = limits
+        self._buckets: dict[str, _Bucket] = {}
+        self._scarce: set[str] = set()
+        self._heard_at_s: dict[str, float] = {}
+        self._counted_at_s = float("-inf")
+        self._share = 1.0
+        self._began_s = 0.0
+        self._reported_at_s = float("-inf")
+
+    @property
+    def reporters(self) -> int:
+        """Nodes that reported here lately."""
+        return len(self._heard_at_s)
+
+    @property
+    def share(self) -> float:
+        """The share of each quota that is dealt here."""
+        return self._share
+
+    def level_of(self, account: str) -> float:
+        """Returns the tokens of an account when they were last looked at."""
+        bucket = self._buckets.get(account)
+        return bucket.level if bucket is not None else 0.0
+
+    def take(
+        self, report: quotas.Report, nodes: int, now_s: float
+    ) -> quotas.Dealt:
+        """Takes a report, and returns the answer.
+
+        Args:
+            report: What a node tells.
+            nodes: Nodes that may admit requests anywhere, also those that
+                can't be reached now.
+            now_s: Monotonic time.
+        """
+        self._begin_term(now_s)
+        self._count(report.node_id, nodes, now_s)
+        for spent in report.spent:
+            bucket = self._bucket(spent.account, now_s)
+            if bucket is not None:
+                bucket.level -= spent.count
+        # What matters most first, whatever the order of the questions.
+        wanted = sorted(report.wanted, key=lambda asked: asked.rank)
+        granted = tuple(self._grant(asked, now_s) for asked in wanted)
+        for account in list(self._scarce):
+            self._bucket(account, now_s)
+        return quotas.Dealt(granted, frozenset(self._scarce))
+
+    def _begin_term(self, now_s: float) -> None:
+        """Forgets buckets in whose place others have dealt meanwhile."""
+        if now_s - self._reported_at_s > _TERM_S:
+            self._buckets.clear()
+            self._scarce.clear()
+            self._heard_at_s.clear()
+            self._began_s = now_s
+        self._reported_at_s = now_s
+
+    def _count(self, node_id: str, nodes: int, now_s: float) -> None:
+        known = len(self._heard_at_s)
+        self._heard_at_s[node_id] = now_s
+        due = now_s - self._counted_at_s > _COUNT_EVERY_S
+        if known == len(self._heard_at_s) and not due:
+            return
+        self._counted_at_s = now_s
+        oldest_s = now_s - _REPORTS_FOR_S
+        self._heard_at_s = {
+            name: at_s
+            for name, at_s in self._heard_at_s.items()
+            if at_s >= oldest_s
+        }
+        heard = len(self._heard_at_s)
+        share = min(1.0, heard / max(1, nodes))
+        if share != self._share:
+            # What came in until now came at the share of until now.
+            for account in list(self._buckets):
+                self._bucket(account, now_s)
+            self._share = share
+
+    def _bucket(self, account: str, now_s: float) -> _Bucket | None:
+        """Returns an account's bucket, filled up to now; None: no limit."""
+        limit = self._limits.limit_of(account)
+        if limit is None:
+            self._buckets.pop(account, None)
+            self._scarce.discard(account)
+            return None
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            bucket = self._buckets[account] = _Bucket(0.0, self._began_s)
+            self._scarce.add(account)
+        depth = limit.depth * self._share
+        gained = limit.rate_per_s * self._share * (now_s - bucket.at_s)
+        bucket.level = min(depth, bucket.level + gained)
+        bucket.at_s = now_s
+        rate = limit.rate_per_s * self._share
+        if bucket.level < min(_SCARCE_BELOW * depth, _SCARCE_BELOW_S * rate):
+            self._scarce.add(account)
+        elif bucket.level > min(_AMPLE_ABOVE * depth, _AMPLE_ABOVE_S * rate):
+            self._scarce.discard(account)
+        return bucket
+
+    def _grant(self, asked: quotas.Wanted, now_s: float) -> quotas.Granted:
+        bucket = self._bucket(asked.account, now_s)
+        limit = self._limits.limit_of(asked.account)
+        if bucket is None or limit is None:
+            return quotas.Granted(asked.account, asked.rank, asked.count, 0.0)
+        reserve = _reserve_of(asked.rank) * limit.depth * self._share
+        free = max(0, int(bucket.level - reserve))
+        count = min(asked.count, free)
+        bucket.level -= count
+        missing = 1.0 + reserve - bucket.level
+        rate = max(_LEAST_SHARE, limit.rate_per_s * self._share)
+        wait_s = max(0.0, missing / rate)
+        return quotas.Granted(asked.account, asked.rank, count, wait_s)
+
+
+def _reserve_of(rank: int) -> float:
+    return _RESERVES[min(rank, len(_RESERVES) - 1)]
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/quotas.py
@@ -0,0 +1,118 @@
+"""What client accounts may spend, over all nodes together.
+
+Each node counts what it admits, and reports it every half second to one node
+that all of them choose alike, the keeper. The keeper holds one token bucket an
+account. While a bucket is well filled, nodes admit by themselves: a request
+costs no question. An account that nears its limit is named in the answers to
+reports, and from then on its requests are admitted one by one with tokens of
+the keeper.
+
+No agreement on the keeper is needed. A keeper deals only as much of a quota as
+the share of nodes that report to it: where nodes are cut off from each other,
+or choose different keepers for a while, the shares of all keepers together are
+no more than the whole. A new keeper does not know what was spent before, so its
+buckets begin empty. See docs/design/quotas.md for the ways weighed.
+"""
+
+import dataclasses
+from typing import Protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """What an account may spend.
+
+    Attributes:
+        rate_per_s: Requests a second.
+        depth: Requests on top, once.
+    """
+
+    rate_per_s: float
+    depth: float
+
+
+class Limits(Protocol):
+    """The limits in force."""
+
+    def limit_of(self, account: str) -> Limit | None:
+        """Returns the limit of an account; None without one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """Requests that a node admitted by itself since its last report.
+
+    Fewer than none if tokens were given back.
+    """
+
+    account: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """Requests that wait at a node for tokens.
+
+    Attributes:
+        account: Whose they are.
+        rank: How much they matter; 0 most.
+        count: How many.
+    """
+
+    account: str
+    rank: int
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a node tells its keeper.
+
+    Attributes:
+        node_id: The node.
+        spent: What it admitted.
+        wanted: What it asks for.
+    """
+
+    node_id: str
+    spent: tuple[Spent, ...] = ()
+    wanted: tuple[Wanted, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """The answer to a `Wanted`.
+
+    Attributes:
+        account: Whose tokens.
+        rank: As in the question.
+        count: How many of the requests are admitted.
+        wait_s: When there will be a token for one more.
+    """
+
+    account: str
+    rank: int
+    count: int
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dealt:
+    """A keeper's answer to a report.
+
+    Attributes:
+        granted: Answers to what was wanted.
+        scarce: Accounts whose requests need tokens from now on.
+    """
+
+    granted: tuple[Granted, ...] = ()
+    scarce: frozenset[str] = frozenset()
+
+
+def may_spend_unreported(limit: Limit, nodes: int) -> int:
+    """Returns how much a node may admit before its report is answered.
+
+    All nodes together no more than the bucket holds, where that allows each of
+    them one.
+    """
+    return max(1, int(limit.depth / max(1, nodes)))
--- a/packages/burdockfront/src/burdockfront/routes.py
+++ b/packages/burdockfront/src/burdockfront/routes.py
@@ -16,9 +16,12 @@
 
 import pydantic
 
+from burdockfront import accounts as accounts_lib
 from burdockfront import errors
 
-_MOST_RANK = 7
+_MOST_RANK = accounts_lib.RANKS - 1
+# Tables of releases that knew no client accounts lack them silently.
+_FORM = 2
 
 
 class Repeat(enum.StrEnum):
@@ -49,6 +52,7 @@
         target_latency_s: An answer within this time is worth its full value.
         rank: How much it matters; 0 is shed last.
         max_attempts: Backend servers that one request may be sent to.
+        public: Callers need no key.
     """
 
     name: str
@@ -59,6 +63,7 @@
     target_latency_s: float
     rank: int
     max_attempts: int
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,12 +101,16 @@
         hosts: Routes by host name.
         limits: What callers may send.
         health_paths: Where backend servers answer for their health.
+        accounts: Client accounts; without any, nobody needs a key.
+        form: Grows when tables say something that earlier releases drop.
     """
 
     version: int
     hosts: tuple[VirtualHost, ...]
     limits: CallerLimits = CallerLimits()
     health_paths: tuple[HealthPath, ...] = ()
+    accounts: tuple[accounts_lib.Account, ...] = ()
+    form: int = _FORM
 
     def to_json(self) -> dict[str, Any]:
         """Returns the form that travels between nodes."""
@@ -115,16 +124,24 @@
     """Reads a table that a peer sent.
 
     Raises:
-        InvalidInputError: It does not have the shape of a table.
+        InvalidInputError: It does not have the shape of a table, or comes
+            from a release that may have left client accounts out.
     """
+    if isinstance(data, dict) and data.get("form", 1) != _FORM:
+        raise errors.InvalidInputError(
+            f"expected a table of routes of form {_FORM}, got form "
+            f"{data.get('form', 1)!r}; all nodes must run compatible releases."
+        )
     try:
-        return _ADAPTER.validate_python(data)
+        table = _ADAPTER.validate_python(data)
     except pydantic.ValidationError as error:
         raise errors.InvalidInputError(
             f"expected a table of routes, got one with {error.error_count()} "
             f"wrong fields, the first at {error.errors()[0]['loc']}; all "
             f"nodes must run compatible releases."
         ) from None
+    accounts_lib.check(table.accounts)
+    return table
 
 
 def rank_of(priority: int) -> int:
@@ -148,11 +165,13 @@
 
     Attributes:
         limits: What callers may send now.
+        accounts: Whose keys are known now.
     """
 
     def __init__(self, rng: random.Random):
         self._rng = rng
         self.limits = CallerLimits()
+        self.accounts = accounts_lib.AccountBook()
         self._table: RouteTable | None = None
         self._services: frozenset[str] = frozenset()
         self._by_prefix: dict[tuple[str, str], Route] = {}
@@ -203,6 +222,9 @@
             for host in table.hosts
             for route in host.routes
         }
+        self.accounts = accounts_lib.AccountBook(
+            table.accounts, {route.rank for route in self._by_prefix.values()}
+        )
         kept = self._splits
         self._splits = {}
         for key, route in self._by_prefix.items():
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+from burdockfront import accounts
 from burdockfront import admission
 from burdockfront import context
 from burdockfront import crashes
@@ -128,9 +129,18 @@
     return routes.Route(**{**fields, **changes})
 
 
-def a_table(version: int = 1, *found: routes.Route) -> routes.RouteTable:
+def a_table(
+    version: int = 1, *found: routes.Route, **changes: object
+) -> routes.RouteTable:
     host = routes.VirtualHost("shop.example", found or (a_route(),))
-    return routes.RouteTable(version, (host,))
+    return routes.RouteTable(version, (host,), **changes)
+
+
+def an_account(
+    name: str = "acme", *keys: str, **changes: object
+) -> accounts.Account:
+    digests = tuple(map(accounts.digest_of, keys))
+    return accounts.Account(name, digests, **changes)
 
 
 def a_beat(
--- /dev/null
+++ b/tests/properties/test_quotas.py
@@ -0,0 +1,121 @@
+"""A quota binds over all nodes in every window, whatever happens to them."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from burdockfront import quotas
+from tests import quota_world
+
+_NODES = 12
+_WINDOW_S = 5.0
+
+_numbers = st.lists(st.integers(0, _NODES - 1), min_size=1, max_size=_NODES)
+_steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("kill"), _numbers),
+        st.tuples(st.just("cut"), _numbers),
+        st.tuples(st.just("part"), _numbers),
+        st.tuples(st.just("heal"), st.just([])),
+        st.tuples(st.just("move"), _numbers),
+        st.tuples(st.just("flood"), _numbers),
+        st.tuples(st.just("calm"), st.just([])),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def _play(world: quota_world.World, kind: str, numbers: list[int]) -> None:
+    demand = world.limits.limit.rate_per_s
+    match kind:
+        case "kill":
+            world.kill(numbers, 1.0)
+        case "cut":
+            world.cut(numbers)
+        case "part":
+            world.cut(numbers, alone=False)
+        case "heal":
+            world.heal()
+        case "flood":
+            world.play(1.0, demand * 8, numbers)
+    if kind == "move":
+        world.play(1.0, demand, numbers)
+    else:
+        world.play(1.0, demand * 2)
+
+
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(
+    steps=_steps,
+    rate=st.sampled_from([4.0, 40.0, 120.0]),
+    seed=st.integers(0, 1000),
+)
+def test_no_series_of_faults_lets_more_through_than_the_quota(
+    steps, rate, seed
+):
+    """Guards against a quota dealt twice: by two keepers, or after a loss."""
+    limits = quota_world.Limits(rate, rate)
+    world = quota_world.World(_NODES, limits, seed)
+    world.pass_time(3.0)
+    for kind, numbers in steps:
+        _play(world, kind, numbers)
+    unreported = quotas.may_spend_unreported(limits.limit, _NODES) * _NODES
+    most = rate * _WINDOW_S + limits.limit.depth + unreported
+    assert world.most_in_window(_WINDOW_S) <= most
+
+
+@hypothesis.settings(max_examples=20, deadline=None)
+@hypothesis.given(
+    rate=st.sampled_from([4.0, 40.0, 120.0]), seed=st.integers(0, 1000)
+)
+def test_nothing_inside_a_quota_is_refused_in_calm(rate, seed):
+    """Guards against shares of less than one request for each node."""
+    world = quota_world.World(
+        _NODES, quota_world.Limits(rate, rate + 10.0), seed
+    )
+    world.pass_time(12.0)
+    world.play(10.0, rate / 1.6)
+    assert world.refused == 0
+
+
+def test_traffic_that_moves_to_another_node_takes_its_quota_along():
+    """Guards against credit that stays where the traffic was."""
+    world = quota_world.World(_NODES, quota_world.Limits(40.0, 50.0), 5)
+    world.pass_time(12.0)
+    for number in range(6):
+        world.play(1.0, 25.0, [number])
+    assert world.refused == 0
+
+
+def test_lowered_limit_binds_at_once():
+    """Guards against tokens of an earlier, higher limit."""
+    limits = quota_world.Limits(100.0, 100.0)
+    world = quota_world.World(_NODES, limits, 3)
+    world.pass_time(5.0)
+    world.play(5.0, 90.0)
+    limits.limit = quotas.Limit(5.0, 5.0)
+    world.play(1.0, 90.0)
+    world.admitted_s.clear()
+    world.play(10.0, 90.0)
+    unreported = quotas.may_spend_unreported(limits.limit, _NODES) * _NODES
+    assert world.most_in_window(_WINDOW_S) <= 5.0 * 5.0 + 5.0 + unreported
+
+
+def test_over_its_limit_what_matters_more_gets_the_tokens():
+    """Guards against confirmations that wait behind listings."""
+    limits = quota_world.Limits(10.0, 20.0)
+    world = quota_world.World(1, limits, 3)
+    node = world._nodes[0]
+    node.keeper.take(quotas.Report("n0"), 1, 0.0)
+    granted = {0: 0, 2: 0}
+    for tenth in range(100):
+        asked = tuple(
+            quotas.Wanted(quota_world.ACCOUNT, rank, 1) for rank in (2, 0)
+        )
+        dealt = node.keeper.take(
+            quotas.Report("n0", (), asked), 1, tenth / 10.0
+        )
+        for answer in dealt.granted:
+            granted[answer.rank] += answer.count
+    assert granted[0] >= 90
+    assert granted[0] > 5 * granted[2]
--- /dev/null
+++ b/tests/unit/test_accounts.py
@@ -0,0 +1,104 @@
+"""Whose key a request bears, and how much its account matters."""
+
+import pytest
+
+from burdockfront import accounts
+from burdockfront import errors
+from burdockfront import routes
+from tests import builders
+
+
+def test_key_admits_its_holder_and_nobody_else():
+    book = accounts.AccountBook(
+        (
+            builders.an_account("acme", "k-acme"),
+            builders.an_account("zeta", "k-zeta"),
+        )
+    )
+    assert book.holder_of(["k-acme"]).name == "acme"
+    assert book.holder_of(["k-zeta"]).name == "zeta"
+
+
+@pytest.mark.parametrize(
+    "keys",
+    [
+        [],
+        [""],
+        ["k-none"],
+        ["k-acme", "k-acme"],
+        ["k-acme, k-acme"],
+        ["K-ACME"],
+    ],
+)
+def test_keys_that_are_missing_doubled_or_wrong_admit_nobody(keys):
+    """Guards against a second key that is taken in place of the first."""
+    book = accounts.AccountBook((builders.an_account("acme", "k-acme"),))
+    assert book.holder_of(keys) is None
+
+
+def test_accounts_hold_no_key():
+    """Guards against keys in tables, which go to peers and into logs."""
+    table = builders.a_table(1, accounts=(builders.an_account("a", "secret"),))
+    assert "secret" not in repr(table)
+    assert "secret" not in str(table.to_json())
+
+
+@pytest.mark.parametrize(
+    "found",
+    [
+        [("acme", "k1"), ("acme", "k2")],
+        [("acme", "k1"), ("zeta", "k1")],
+    ],
+)
+def test_accounts_that_cannot_be_told_apart_are_turned_down(found):
+    """Guards against a key that admits whichever account comes last."""
+    with pytest.raises(errors.InvalidInputError) as caught:
+        accounts.check(builders.an_account(*pair) for pair in found)
+    assert "acme" in str(caught.value)
+    assert "k1" not in str(caught.value)
+
+
+def test_rank_of_the_account_goes_before_that_of_the_route():
+    first = builders.an_account("first", "k1", rank=0)
+    usual = builders.an_account("usual", "k2", rank=1)
+    book = accounts.AccountBook((first, usual), [0, 1, 2])
+    ranked = [
+        book.rank_of(account, rank)
+        for account in (first, usual)
+        for rank in (0, 1, 2)
+    ]
+    assert ranked == sorted(set(ranked))
+
+
+def test_confirmations_go_before_listings_within_an_account():
+    """Guards against an account's rank that wipes out the routes' order."""
+    ranks = [None, 0, 1, 2, 3, 4, 5, 6, 7]
+    found = tuple(
+        builders.an_account(f"a{rank}", f"k{rank}", rank=rank) for rank in ranks
+    )
+    book = accounts.AccountBook(found, [0, 1, 2])
+    for account in (*found, None):
+        assert book.rank_of(account, 0) < book.rank_of(account, 2) < 8
+
+
+def test_routes_alone_rank_where_all_accounts_matter_alike():
+    usual = builders.an_account("usual", "k", rank=1)
+    book = accounts.AccountBook((usual,), [0, 2])
+    assert book.rank_of(usual, 2) == 2
+    assert book.rank_of(None, 1) == 1
+
+
+def test_table_of_a_release_without_accounts_is_not_taken():
+    """Guards against accounts that vanish, and a door that is open to all."""
+    data = builders.a_table(4).to_json()
+    del data["form"]
+    with pytest.raises(errors.InvalidInputError, match="compatible releases"):
+        routes.table_from_json(data)
+
+
+def test_table_from_a_peer_is_checked_like_one_from_the_store():
+    """Guards against two accounts of one key that a peer lets in."""
+    both = (builders.an_account("a", "k"), builders.an_account("b", "k"))
+    data = builders.a_table(4, accounts=both).to_json()
+    with pytest.raises(errors.InvalidInputError, match="one client account"):
+        routes.table_from_json(data)
--- a/tests/unit/test_route_filter.py
+++ b/tests/unit/test_route_filter.py
@@ -1,6 +1,5 @@
 """Terms that a route gives to a request."""
 
-import asyncio
 import math
 import random
 
@@ -10,63 +9,35 @@
 from burdockfront import context as context_lib
 from burdockfront import levels
 from burdockfront import outcomes
-from burdockfront import policy
 from burdockfront import routes
 from burdockfront import routing
 from burdockfront import timeline
-from burdockfront_client import attempts
 from burdockfront_client import calls
 from burdockfront_client import sender as sender_lib
 from burdockfront_node.filters import base
-from burdockfront_node.filters import route as route_lib
-from burdockfront_node.internal import messages
 from tests import builders
+from tests import route_chain
 
 
 def _filter(
     *found: routes.Route,
     new_work: bool = True,
     parent: context_lib.RequestContext | None = None,
-) -> route_lib.RouteFilter:
-    book = routes.RouteBook(random.Random(1))
-    if found:
-        book.accept(builders.a_table(7, *found))
-    recorder = timeline.Recorder("n1", "dc1", 10)
-    dispatcher = builders.a_dispatcher(recorder)
-    routed = base.RoutedTools(
-        book,
-        frozenset(["deadline"]),
-        "timetable",
-        lambda name: new_work,
-        lambda request_id: parent,
-    )
-    tools = base.Tools(
-        dispatcher,
-        attempts.AttemptBook(),
-        policy.default,
-        recorder,
-        lambda call: None,
-        routed,
-    )
-    return route_lib.RouteFilter(tools)
+) -> route_chain.RouteChain:
+    table = builders.a_table(7, *found) if found else None
+    return route_chain.RouteChain(table, new_work, parent)
 
 
 def _entry(target: str = "/a/x", **changes: object) -> base.Entry:
-    headers = (("host", "shop.example"), ("deadline", "9"), ("x", "y"))
-    request = messages.Request("GET", target, headers, b"")
-    fields = {"caller_request_id": "r-1", "caller_waits_s": 5.0}
-    return base.Entry(request, **{**fields, **changes})
+    return route_chain.an_entry(target=target, **changes)
 
 
 def _run(
-    link: route_lib.RouteFilter,
+    chain: route_chain.RouteChain,
     entry: base.Entry,
     answer: outcomes.Answer | None = None,
 ) -> outcomes.Answer:
-    async def following(entry: base.Entry) -> outcomes.Answer:
-        return answer or builders.an_answer()
-
-    return asyncio.run(link(entry, following))
+    return chain.run(entry, answer)
 
 
 def test_time_limit_of_a_deep_request_is_not_used_up_by_margins():
