--- a/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
@@ -51,7 +51,7 @@
     def __init__(self, book: routes_lib.RouteBook, slack: float):
         self._book = book
         # Half of it deepens buckets: callers of a small account come in
-        # bunches. The other half covers what is admitted before it is known.
+        # bunches. The other half is what a new keeper may deal blindly.
         self._more = slack / 2
 
     @property
@@ -64,7 +64,8 @@
         found = self._book.accounts.get(account)
         if found is None or not found.rate_per_s:
             return None
-        return quotas.Limit(found.rate_per_s, found.burst + self._more)
+        depth = found.burst + self._more
+        return quotas.Limit(found.rate_per_s, depth, self._more)
 
 
 class QuotaExchange:
--- a/packages/burdockfront-node/src/burdockfront_node/crash_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/crash_watch.py
@@ -215,7 +215,7 @@
     fingerprint = fingerprints.fingerprint_of(
         call.method, call.host, call.target, call.headers, call.body
     )
-    return crashes.Suspect(fingerprint, call.origin_service)
+    return crashes.Suspect(fingerprint, call.origin_service, call.account)
 
 
 def _at_work_of(attempt: calls.Attempt) -> AtWork:
--- a/packages/burdockfront-node/src/burdockfront_node/filters/account.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/account.py
@@ -44,7 +44,8 @@
             return self._refuse(entry, outcomes.Reason.UNKNOWN_KEY, None)
         if not account.rate_per_s:
             return await following(entry)
-        rank = accounts.rank_of(account, found.route.rank)
+        # Of the account's own requests: the account's rank says nothing here.
+        rank = found.route.rank
         refused_s = self._quotas.spend(account, rank)
         if refused_s is None:
             refused_s = await self._quotas.ask(account, rank)
--- a/packages/burdockfront/src/burdockfront/crashes.py
+++ b/packages/burdockfront/src/burdockfront/crashes.py
@@ -13,6 +13,10 @@
 | 2                                  | are refused for some seconds, then as 1 |
 | 3 and more                         | are refused                            |
 
+Crashes count for the client account that asked: what crashes servers from one
+may be answered to another. Where no single account was at all of them they
+count for everybody, since then it is the request itself.
+
 All that was at a server is suspected of its crash, so most suspects are
 innocent. Run one at a time, the next crash has one suspect of the last crash
 among it, not all of them; an innocent one is answered, and thereby acquitted.
@@ -36,6 +40,8 @@
 _DROPPED_AT_ONCE = 512
 _CRASH = "crash"
 _ACQUITTAL = "acquittal"
+# Between service and account; in the name of neither.
+_SEPARATOR = " "
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,10 +70,25 @@
     Attributes:
         fingerprint: What was asked for; see `fingerprints`.
         caller: Service beside which it entered; empty if that is not known.
+        account: Client account that asked; empty for calls, and where there
+            are no accounts.
     """
 
     fingerprint: str
     caller: str = ""
+    account: str = ""
+
+    @property
+    def source(self) -> str:
+        """Whence it came, as it travels."""
+        if not self.account:
+            return self.caller
+        return f"{self.caller}{_SEPARATOR}{self.account}"
+
+
+def _suspect_of(fingerprint: str, source: str) -> Suspect:
+    caller, _, account = source.partition(_SEPARATOR)
+    return Suspect(fingerprint, caller, account)
 
 
 class Standing(enum.Enum):
@@ -101,14 +122,24 @@
     """What counts against a request.
 
     Attributes:
-        callers_of: By crash, the callers whose copies were at the server and
+        sources_of: By crash, the sources whose copies were at the server and
             were not answered since.
         heard_at_s: Monotonic time at which the last crash was heard of.
     """
 
-    callers_of: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    sources_of: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     heard_at_s: float = 0.0
 
+    def count_for(self, account: str) -> int:
+        """Returns how many crashes count for requests of an account."""
+        found = [
+            {_suspect_of("", source).account for source in sources}
+            for sources in self.sources_of.values()
+        ]
+        if not set.intersection(*found):
+            return len(found)
+        return sum(account in accounts for accounts in found)
+
 
 class CrashBook:
     """The crashes that one node knows of.
@@ -139,21 +170,21 @@
         return [
             fingerprint
             for fingerprint, record in self._records.items()
-            if len(record.callers_of) >= self._rules.crashes
+            if len(record.sources_of) >= self._rules.crashes
         ]
 
-    def judge(self, fingerprint: str, now_s: float, wall_s: float) -> Judgement:
+    def judge(self, suspect: Suspect, now_s: float, wall_s: float) -> Judgement:
         """Tells how a request is to be treated.
 
         Args:
-            fingerprint: What it asks for.
+            suspect: What it asks for, and whence.
             now_s: Monotonic time.
             wall_s: Wall clock.
         """
-        record = self._records.get(fingerprint)
+        record = self._records.get(suspect.fingerprint)
         if record is None:
             return _CLEAR
-        count = len(record.callers_of)
+        count = record.count_for(suspect.account)
         if count >= self._rules.crashes:
             refused_s = self._remembered_s(record, wall_s)
             return Judgement(Standing.QUARANTINED, refused_s)
@@ -175,8 +206,8 @@
             return []
         return [
             _acquittal_entry(crash_id, suspect, wall_s)
-            for crash_id, callers in record.callers_of.items()
-            if suspect.caller in callers
+            for crash_id, sources in record.sources_of.items()
+            if suspect.source in sources
         ]
 
     def release_of(self, fingerprint: str, wall_s: float) -> list[tables.Entry]:
@@ -185,9 +216,9 @@
         if record is None:
             return []
         return [
-            _acquittal_entry(crash_id, Suspect(fingerprint, caller), wall_s)
-            for crash_id, callers in record.callers_of.items()
-            for caller in callers
+            _acquittal_entry(crash_id, _suspect_of(fingerprint, source), wall_s)
+            for crash_id, sources in record.sources_of.items()
+            for source in sources
         ]
 
     def is_witness(self, fingerprint: str, boot_id: str) -> bool:
@@ -196,7 +227,7 @@
         if record is None:
             return False
         mine = f"{boot_id}."
-        return any(crash.startswith(mine) for crash in record.callers_of)
+        return any(crash.startswith(mine) for crash in record.sources_of)
 
     def evidence_of(self, fingerprint: str) -> list[tables.Entry]:
         """Returns the crashes that count against a request, of it alone."""
@@ -206,10 +237,10 @@
         return [
             crash_entry(
                 crash_id,
-                [Suspect(fingerprint, caller) for caller in callers],
+                [_suspect_of(fingerprint, source) for source in sources],
                 self._at_s(crash_id),
             )
-            for crash_id, callers in record.callers_of.items()
+            for crash_id, sources in record.sources_of.items()
         ]
 
     def merge(self, entry: tables.Entry, now_s: float, wall_s: float) -> bool:
@@ -251,10 +282,10 @@
             if suspect in acquitted:
                 continue
             record = self._records.setdefault(suspect.fingerprint, _Record())
-            if note.crash_id not in record.callers_of:
+            if note.crash_id not in record.sources_of:
                 record.heard_at_s = now_s
-            callers = record.callers_of.setdefault(note.crash_id, set())
-            callers.add(suspect.caller)
+            sources = record.sources_of.setdefault(note.crash_id, set())
+            sources.add(suspect.source)
 
     def _acquit(self, note: "_Note") -> None:
         for suspect in note.suspects:
@@ -264,12 +295,12 @@
     def _strike(self, crash_id: str, suspect: Suspect) -> None:
         """Lets a crash no longer count against a request."""
         record = self._records.get(suspect.fingerprint)
-        if record is None or crash_id not in record.callers_of:
+        if record is None or crash_id not in record.sources_of:
             return
-        record.callers_of[crash_id].discard(suspect.caller)
-        if not record.callers_of[crash_id]:
-            del record.callers_of[crash_id]
-        if not record.callers_of:
+        record.sources_of[crash_id].discard(suspect.source)
+        if not record.sources_of[crash_id]:
+            del record.sources_of[crash_id]
+        if not record.sources_of:
             del self._records[suspect.fingerprint]
 
     def _remove(self, entry: tables.Entry) -> None:
@@ -298,7 +329,7 @@
 
     def _remembered_s(self, record: _Record, wall_s: float) -> float:
         """Returns when so many crashes are forgotten that it runs again."""
-        times_s = sorted(map(self._at_s, record.callers_of))
+        times_s = sorted(map(self._at_s, record.sources_of))
         last_to_go_s = times_s[-self._rules.crashes]
         return max(1.0, last_to_go_s + self._rules.remember_s - wall_s)
 
@@ -324,7 +355,7 @@
         at_s: Wall clock of the crash.
     """
     found = sorted(
-        {(suspect.fingerprint, suspect.caller) for suspect in suspects}
+        {(suspect.fingerprint, suspect.source) for suspect in suspects}
     )
     value = {
         "at_ms": round(at_s * _MS_PER_S),
@@ -336,10 +367,10 @@
 def _acquittal_entry(
     crash_id: str, suspect: Suspect, at_s: float
 ) -> tables.Entry:
-    key = f"{_ACQUITTAL}/{crash_id}/{suspect.fingerprint}/{suspect.caller}"
+    key = f"{_ACQUITTAL}/{crash_id}/{suspect.fingerprint}/{suspect.source}"
     value = {
         "at_ms": round(at_s * _MS_PER_S),
-        "suspects": [[suspect.fingerprint, suspect.caller]],
+        "suspects": [[suspect.fingerprint, suspect.source]],
     }
     return tables.Entry(key, (1,), value)
 
@@ -368,8 +399,8 @@
         kind, crash_id = entry.key.split("/")[:2]
         at_s = entry.value["at_ms"] / _MS_PER_S
         suspects = tuple(
-            Suspect(str(fingerprint), str(caller))
-            for fingerprint, caller in entry.value["suspects"]
+            _suspect_of(str(fingerprint), str(source))
+            for fingerprint, source in entry.value["suspects"]
         )
     except (LookupError, TypeError, ValueError):
         kind = ""
--- a/packages/burdockfront/src/burdockfront/quota_keeper.py
+++ b/packages/burdockfront/src/burdockfront/quota_keeper.py
@@ -27,6 +27,8 @@
 class _Bucket:
     level: float
     at_s: float
+    # The share of what may be dealt blindly that is in the level already.
+    begun: float = 0.0
 
 
 class QuotaKeeper:
@@ -111,9 +113,13 @@
         share = min(1.0, heard / max(1, nodes))
         if share != self._share:
             # What came in until now came at the share of until now.
-            for account in list(self._buckets):
-                self._bucket(account, now_s)
+            self._fill_all(now_s)
             self._share = share
+            self._fill_all(now_s)
+
+    def _fill_all(self, now_s: float) -> None:
+        for account in list(self._buckets):
+            self._bucket(account, now_s)
 
     def _bucket(self, account: str, now_s: float) -> _Bucket | None:
         """Returns an account's bucket, filled up to now; None: no limit."""
@@ -128,6 +134,9 @@
             self._scarce.add(account)
         depth = limit.depth * self._share
         gained = limit.rate_per_s * self._share * (now_s - bucket.at_s)
+        if self._share > bucket.begun:
+            gained += limit.first * (self._share - bucket.begun)
+            bucket.begun = self._share
         bucket.level = min(depth, bucket.level + gained)
         bucket.at_s = now_s
         rate = limit.rate_per_s * self._share
--- a/packages/burdockfront/src/burdockfront/quotas.py
+++ b/packages/burdockfront/src/burdockfront/quotas.py
@@ -11,7 +11,8 @@
 the share of nodes that report to it: where nodes are cut off from each other,
 or choose different keepers for a while, the shares of all keepers together are
 no more than the whole. A new keeper does not know what was spent before, so its
-buckets begin empty. See docs/design/quotas.md for the ways weighed.
+buckets begin with no more than operators bear beyond a limit. The ways weighed
+stand in docs/design/quotas.md.
 """
 
 import dataclasses
@@ -25,10 +26,13 @@
     Attributes:
         rate_per_s: Requests a second.
         depth: Requests on top, once.
+        first: Requests that may be spent before it is known what was spent
+            lately: by each new keeper.
     """
 
     rate_per_s: float
     depth: float
+    first: float = 0.0
 
 
 class Limits(Protocol):
--- a/tests/properties/test_quotas.py
+++ b/tests/properties/test_quotas.py
@@ -78,6 +78,19 @@
     assert world.refused == 0
 
 
+def test_callers_inside_their_quota_are_served_after_all_nodes_were_lost():
+    """Guards against seconds of refusals, since nobody knows what was spent."""
+    limits = quota_world.Limits(4.0, 14.0, 10.0)
+    world = quota_world.World(_NODES, limits, 4)
+    world.pass_time(12.0)
+    world.play(5.0, 2.5)
+    world.kill(list(range(_NODES)), 1.0)
+    world.pass_time(2.0)
+    world.play(5.0, 2.5)
+    assert world.refused == 0
+    assert world.most_in_window(_WINDOW_S) <= 4.0 * 5.0 + 14.0 + 10.0
+
+
 def test_traffic_that_moves_to_another_node_takes_its_quota_along():
     """Guards against credit that stays where the traffic was."""
     world = quota_world.World(_NODES, quota_world.Limits(40.0, 50.0), 5)
