--- a/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
@@ -50,9 +50,11 @@
 
     def __init__(self, book: routes_lib.RouteBook, slack: float):
         self._book = book
-        # Half of it deepens buckets: callers of a small account come in
-        # bunches. The other half is what a new keeper may deal blindly.
-        self._more = slack / 2
+        # Callers of a small account come in bunches.
+        self._deeper = slack / 2
+        # What a new keeper may deal blindly. After all processes were lost
+        # there may be two for a moment.
+        self._first = slack / 4
 
     @property
     def any_limited(self) -> bool:
@@ -64,8 +66,8 @@
         found = self._book.accounts.get(account)
         if found is None or not found.rate_per_s:
             return None
-        depth = found.burst + self._more
-        return quotas.Limit(found.rate_per_s, depth, self._more)
+        depth = found.burst + self._deeper
+        return quotas.Limit(found.rate_per_s, depth, self._first)
 
 
 class QuotaExchange:
@@ -76,6 +78,7 @@
         limits: The limits in force.
         recorder: Where events go.
         rng: Source of randomness.
+        ready: Whether this node knows the others.
     """
 
     def __init__(
@@ -84,7 +87,9 @@
         limits: BookLimits,
         recorder: timeline.Recorder,
         rng: random.Random,
+        ready: asyncio.Event,
     ):
+        self._ready = ready
         self._exchange = exchange
         self._limits = limits
         self._recorder = recorder
@@ -98,6 +103,15 @@
         self._keeper_id = ""
         self.refused: collections.Counter[str] = collections.Counter()
 
+    @property
+    def is_known(self) -> bool:
+        """Whether quotas can be held yet.
+
+        A node that knows no others would deal whole quotas to itself, and all
+        that start together would.
+        """
+        return self._ready.is_set()
+
     @property
     def scarce(self) -> frozenset[str]:
         """Accounts whose requests need tokens now."""
@@ -139,6 +153,7 @@
 
     async def report_forever(self) -> None:
         """Reports now and then, and at once when requests wait."""
+        await self._ready.wait()
         while True:
             await self._wait()
             self._due.clear()
--- a/packages/burdockfront-node/src/burdockfront_node/filters/account.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/account.py
@@ -11,6 +11,9 @@
 from burdockfront import outcomes
 from burdockfront_node.filters import base
 
+# Until the other nodes are known. Starting takes about as long.
+_STARTING_RETRY_S = 0.5
+
 
 @base.FILTERS.register("account")
 class AccountFilter:
@@ -46,6 +49,10 @@
             return await following(entry)
         # Of the account's own requests: the account's rank says nothing here.
         rank = found.route.rank
+        if not self._quotas.is_known:
+            return self._refuse(
+                entry, outcomes.Reason.NO_CONFIGURATION, _STARTING_RETRY_S
+            )
         refused_s = self._quotas.spend(account, rank)
         if refused_s is None:
             refused_s = await self._quotas.ask(account, rank)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -70,6 +70,10 @@
 class Quotas(Protocol):
     """What client accounts may spend, as an entry sees it."""
 
+    @property
+    def is_known(self) -> bool:
+        """Whether quotas can be held yet."""
+
     def spend(self, account: accounts.Account, rank: int) -> float | None:
         """Spends one request at once, if that can be decided here.
 
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -104,6 +104,7 @@
             quota_exchange_lib.BookLimits(self._book, self._place.quota_slack),
             self._recorder,
             self._rng,
+            self._ready,
         )
         self._accounts = account_status_lib.AccountStatus(
             self._book, self._quotas
--- a/tests/route_chain.py
+++ b/tests/route_chain.py
@@ -24,6 +24,8 @@
 class NoQuotas:
     """Admits everything."""
 
+    is_known = True
+
     def spend(self, account: accounts.Account, rank: int) -> float | None:
         return 0.0
 
--- a/tests/unit/test_account_filter.py
+++ b/tests/unit/test_account_filter.py
@@ -22,6 +22,8 @@
         self.spent: list[int] = []
         self.given_back: list[str] = []
 
+    is_known = True
+
     def spend(self, account: accounts.Account, rank: int) -> float | None:
         self.spent.append(rank)
         return self.at_once
@@ -105,6 +107,17 @@
     assert entry.call is None
 
 
+def test_node_that_knows_no_others_yet_spends_nothing():
+    """Guards against whole quotas dealt by each of many that start at once."""
+    quotas = _Quotas()
+    quotas.is_known = False
+    entry = route_chain.an_entry(("x-api-key", "k-acme"))
+    answer = _run(entry, quotas)
+    assert answer.reason is outcomes.Reason.NO_CONFIGURATION
+    assert answer.retry_after_s
+    assert not quotas.spent
+
+
 def test_what_cannot_be_decided_here_is_asked():
     entry = route_chain.an_entry(("x-api-key", "k-acme"))
     assert _run(entry, _Quotas(None, 0.4)).retry_after_s == 0.4
