--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -14,19 +14,17 @@
 from burdockfront import ledger as ledger_lib
 from burdockfront import members as members_lib
 from burdockfront import membership as membership_lib
-from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_node import availability
-from burdockfront_node import backend as backend_lib
 from burdockfront_node import daemon_parts
 from burdockfront_node import entry as entry_lib
 from burdockfront_node import guard as guard_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import internal_app
+from burdockfront_node import internal_handlers
 from burdockfront_node import lineage as lineage_lib
-from burdockfront_node import operators as operators_lib
 from burdockfront_node import quarantine as quarantine_lib
 from burdockfront_node import settings as settings_lib
 from burdockfront_node import ticket_status
@@ -288,41 +286,12 @@
             recorder=self._recorder,
             ready=self._ready,
         )
-        operators = operators_lib.Operators(parts)
-        for_peers: dict[str, internal_app.JsonHandler] = {
-            exchange_lib.PROBE: _plain(self._exchange.on_probe),
-            exchange_lib.PROBE_FOR: self._exchange.on_probe_for,
-            exchange_lib.PUSH: _plain(self._exchange.on_push),
-            exchange_lib.SYNC: _plain(self._exchange.repairs.on_sync),
-            ticket_status.PATH: _plain(self._on_ticket),
-            "/backend/announce": _plain(self._on_announce),
-            "/backend/targets": _plain(self._on_targets),
-            **self._more_for_peers(),
-        }
-        for_operators = {
-            "/operator/status": operators.status,
-            "/operator/members": operators.members,
-            "/operator/policy": operators.policy,
-            "/operator/change": operators.change,
-            "/operator/history": operators.history,
-            "/operator/events": operators.events,
-            "/operator/drain": operators.drain,
-            "/operator/release": operators.release,
-            **self._more_for_operators(),
-        }
-        routes = [
-            internal_app.json_route(
-                path, lambda: self._keys, self._denied, handler
-            )
-            for path, handler in for_peers.items()
-        ]
-        routes += [
-            internal_app.json_route(
-                path, lambda: self._operator_keys, self._denied, handler
-            )
-            for path, handler in for_operators.items()
-        ]
-        return internal_app.applications.Starlette(routes=routes)
+        handlers = internal_handlers.InternalHandlers(
+            parts, self._status, self._keys, self._operator_keys
+        )
+        return handlers.application(
+            self._more_for_peers(), self._more_for_operators()
+        )
 
     def _more_for_peers(self) -> dict[str, internal_app.JsonHandler]:
         """Returns further handlers of peers' questions, by path."""
@@ -332,34 +301,6 @@
         """Returns further handlers of operators' questions, by path."""
         return {}
 
-    # ---- handlers -------------------------------------------------------
-
-    def _on_announce(self, message: dict[str, object]) -> dict[str, object]:
-        self._backends.announce(backend_lib.parse_announcement(message))
-        return {}
-
-    def _on_targets(self, message: dict[str, object]) -> dict[str, object]:
-        """Tells an embedded router what membership and policy are now."""
-        configuration = self._exchange.configuration
-        applied = configuration.applied().values()
-        return {
-            "members": [
-                m.to_entry().to_json()
-                for m in self._exchange.membership.usable()
-                if m.service
-            ],
-            "policies": [a.document for a in applied],
-        }
-
-    def _on_ticket(self, message: dict[str, object]) -> dict[str, object]:
-        ticket = tickets.decode(str(message["ticket"]), self._keys)
-        state, moved_to = self._status.here(ticket)
-        return {"state": state, "moved_to": moved_to}
-
-    def _denied(self, path: str) -> None:
-        self._recorder.record(time.time(), "key.denied", path=path)
-        _LOG.warning("wrong key", extra={"path": path})
-
     def _members_changed(self) -> None:
         """Has the router updated soon, once for many changes.
 
@@ -479,12 +420,3 @@
             await self._store_link.close()
         self._recorder.record(time.time(), "node.stopped", boot=self._boot_id)
         self._log.flush()
-
-
-def _plain(
-    handler: "exchange_lib.Callable[[dict[str, object]], dict[str, object]]",
-) -> internal_app.JsonHandler:
-    async def asynchronous(message: dict[str, object]) -> dict[str, object]:
-        return handler(message)
-
-    return asynchronous
