--- a/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
@@ -14,13 +14,13 @@
 
 from burdockfront import accounts as accounts_lib
 from burdockfront import errors
-from burdockfront import members as members_lib
 from burdockfront import quota_keeper
 from burdockfront import quota_purse
 from burdockfront import quotas
-from burdockfront import routes as routes_lib
 from burdockfront import timeline
 from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import quota_choice
+from burdockfront_node.controllers import quota_limits
 from burdockfront_node.controllers import quota_wire
 
 _LOG = logging.getLogger(__name__)
@@ -30,63 +30,11 @@
 _REPORT_S = 0.5
 # Requests wait for it; another keeper is asked then.
 _TIMEOUT_S = 0.25
-# One that did not answer is not asked again for so long.
-_AVOID_S = 3.0
 # With so many lost at once this node is cut off, as a rule.
 _TRIES = 3
-# A node that is gone for longer was replaced under another name; until then it
-# may be cut off, and spend its share.
-_LOST_FOR_S = 600.0
-# A limit that came into force is new for as long as its first reports take.
-_NEW_FOR_S = 3.0
 _SOON_S = 0.001
 
 
-class BookLimits:
-    """The limits of the table in force.
-
-    Args:
-        book: The table.
-        slack: Requests beyond a limit that operators bear, in a window.
-    """
-
-    def __init__(self, book: routes_lib.RouteBook, slack: float):
-        self._book = book
-        self._version = book.version
-        self._new_since_s: dict[str, float] = {}
-        # Callers of a small account come in bunches.
-        self._deeper = slack / 4
-        # What a new keeper may deal blindly. After all processes were lost
-        # there may be two for a moment.
-        self._first = slack / 4
-
-    @property
-    def any_limited(self) -> bool:
-        """Whether any account has a limit."""
-        return bool(self._book.accounts.limited)
-
-    def look(self, now_s: float) -> None:
-        """Notes which accounts have a limit since the last look."""
-        if self._book.version == self._version:
-            return
-        newly_limited = self._book.accounts.newly_limited
-        self._new_since_s = dict.fromkeys(newly_limited, now_s)
-        self._version = self._book.version
-
-    def is_new(self, account: str, now_s: float) -> bool:
-        """Whether an account had no limit until a moment ago."""
-        since_s = self._new_since_s.get(account)
-        return since_s is not None and now_s - since_s < _NEW_FOR_S
-
-    def limit_of(self, account: str) -> quotas.Limit | None:
-        """Returns the limit of an account; None without one."""
-        found = self._book.accounts.get(account)
-        if found is None or not found.rate_per_s:
-            return None
-        depth = found.burst + self._deeper
-        return quotas.Limit(found.rate_per_s, depth, self._first)
-
-
 class QuotaExchange:
     """Spends and reports at one node, and keeps for others when asked.
 
@@ -101,7 +49,7 @@
     def __init__(
         self,
         exchange: exchange_lib.Exchange,
-        limits: BookLimits,
+        limits: quota_limits.BookLimits,
         recorder: timeline.Recorder,
         rng: random.Random,
         ready: asyncio.Event,
@@ -115,8 +63,7 @@
         self._purse = quota_purse.QuotaPurse(limits, rng)
         self._waiting: dict[tuple[str, int], list[asyncio.Future[float]]] = {}
         self._due = asyncio.Event()
-        self._avoided: dict[str, float] = {}
-        self._lost_at_s: dict[str, float] = {}
+        self._choice = quota_choice.KeeperChoice(exchange.membership)
         self._keeper_id = ""
         self.refused: collections.Counter[str] = collections.Counter()
 
@@ -192,7 +139,7 @@
         """Answers the report of a peer."""
         report = quota_wire.read_report(message)
         self._limits.look(time.monotonic())
-        dealt = self.keeper.take(report, self._nodes(), time.monotonic())
+        dealt = self.keeper.take(report, self._choice.nodes(), time.monotonic())
         return quota_wire.write_dealt(dealt)
 
     async def _wait(self) -> None:
@@ -203,7 +150,7 @@
             return
 
     async def _report(self) -> None:
-        self._purse.nodes = self._nodes()
+        self._purse.nodes = self._choice.nodes()
         waiting, self._waiting = self._waiting, {}
         spent = self._purse.report()
         report = quotas.Report(
@@ -228,7 +175,7 @@
     async def _ask_keeper(self, report: quotas.Report) -> quotas.Dealt:
         """Asks the keeper, another one if it does not answer, or itself."""
         for _ in range(_TRIES):
-            keeper = self._choose()
+            keeper = self._choice.choose()
             if keeper.node_id == self._exchange.membership.me.node_id:
                 break
             try:
@@ -240,7 +187,7 @@
                 )
                 dealt = quota_wire.read_dealt(answer)
             except (errors.DispatchError, errors.InvalidInputError) as error:
-                self._avoided[keeper.node_id] = time.monotonic() + _AVOID_S
+                self._choice.avoid(keeper.node_id)
                 _LOG.info(
                     "a keeper of quotas did not answer",
                     extra={"keeper": keeper.node_id, "why": str(error)},
@@ -249,45 +196,7 @@
             self._note_keeper(keeper.node_id)
             return dealt
         self._note_keeper(report.node_id)
-        return self.keeper.take(report, self._nodes(), time.monotonic())
-
-    def _choose(self) -> members_lib.Member:
-        """Returns the node that has run longest of those that may answer."""
-        now_s = time.monotonic()
-        self._avoided = {
-            node_id: until_s
-            for node_id, until_s in self._avoided.items()
-            if until_s > now_s
-        }
-        membership = self._exchange.membership
-        return min(
-            (
-                member
-                for member in membership.usable()
-                if member.node_id not in self._avoided
-                and not member.draining
-                and member.status is members_lib.Status.ALIVE
-            ),
-            key=lambda member: (member.incarnation, member.node_id),
-            default=membership.me,
-        )
-
-    def _nodes(self) -> int:
-        """Returns how many nodes may admit requests, reachable or not."""
-        now_s = time.monotonic()
-        count = 0
-        lost_at_s = {}
-        for member in self._exchange.membership.members():
-            if member.status is members_lib.Status.LEFT:
-                continue
-            if member.status is members_lib.Status.DEAD:
-                at_s = self._lost_at_s.get(member.node_id, now_s)
-                lost_at_s[member.node_id] = at_s
-                if now_s - at_s > _LOST_FOR_S:
-                    continue
-            count += 1
-        self._lost_at_s = lost_at_s
-        return count
+        return self.keeper.take(report, self._choice.nodes(), time.monotonic())
 
     def _hand_out(
         self,
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_peers.py
@@ -0,0 +1,78 @@
+"""Fetches operators' table from peers who know a newer one."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from burdockfront import errors
+from burdockfront import routes
+from burdockfront_node.controllers import peer_link
+
+_LOG = logging.getLogger(__name__)
+
+ROUTES = "/peer/routes"
+_TIMEOUT_S = 1.0
+
+
+class RoutePeers:
+    """Asks peers for their table, one at a time.
+
+    Args:
+        book: The table in force.
+        link: The way to peers.
+        accept: Takes a table, and whence it came.
+        on_useless: Called when a peer's table can't be taken.
+    """
+
+    def __init__(
+        self,
+        book: routes.RouteBook,
+        link: peer_link.PeerLink,
+        accept: Callable[[routes.RouteTable, str], None],
+        on_useless: Callable[[], None],
+    ):
+        self._book = book
+        self._link = link
+        self._accept = accept
+        self._on_useless = on_useless
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def fetching(self) -> bool:
+        """Whether a newer table is on its way."""
+        return self._task is not None and not self._task.done()
+
+    def fetch(self, address: str, version: int, wait_s: float) -> None:
+        """Fetches a table if it is newer than the one in force.
+
+        Args:
+            address: Of the peer.
+            version: Its version.
+            wait_s: Time for it to come by another way first.
+        """
+        if version > self._book.version and not self.fetching:
+            fetching = self._fetch_later(address, version, wait_s)
+            self._task = asyncio.create_task(fetching)
+
+    async def fetch_now(self, address: str) -> None:
+        """Takes the table of a peer, if it answers."""
+        try:
+            answer = await self._link.ask(address, ROUTES, {}, _TIMEOUT_S)
+            data = answer.get("routes")
+            if data is not None:
+                self._accept(routes.table_from_json(data), f"peer {address}")
+        except errors.DispatchError as error:
+            _LOG.info("no routes from a peer", extra={"why": str(error)})
+        except errors.InvalidInputError as error:
+            _LOG.warning(
+                "a peer's routes are no use", extra={"why": str(error)}
+            )
+            self._on_useless()
+
+    async def _fetch_later(
+        self, address: str, version: int, wait_s: float
+    ) -> None:
+        if wait_s:
+            await asyncio.sleep(wait_s)
+        if version > self._book.version:
+            await self.fetch_now(address)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -33,17 +33,17 @@
 from burdockfront import timeline
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import peer_link
+from burdockfront_node.controllers import route_peers
 from burdockfront_node.controllers import store as store_lib
 
 _LOG = logging.getLogger(__name__)
 
-ROUTES = "/peer/routes"
+ROUTES = route_peers.ROUTES
 # A waiting watch costs one call however long it waits; this is short enough
 # that a store which forgets its watches is asked again within a change or two.
 _WATCH_S = 20.0
 # Time for the own watch to bring what a peer knows already.
 _OWN_WATCH_FIRST_S = 0.3
-_PEER_TIMEOUT_S = 1.0
 # Stores keep a history of some tens of seconds. A watch from a revision that is
 # older than this may be in vain, and costs a call more than reading at once.
 _HISTORY_S = 10.0
@@ -110,7 +110,6 @@
         self._prefix = prefix
         self._read_table = read_table
         self._book = book
-        self._link = link
         self._recorder = recorder
         self._on_return = on_return
         self._after = 0
@@ -120,7 +119,9 @@
         self._waiting: asyncio.Task[store_lib.Events] | None = None
         self._known = asyncio.Event()
         self._heard: tuple[str, int] | None = None
-        self._fetching: asyncio.Task[None] | None = None
+        self._peers = route_peers.RoutePeers(
+            book, link, self._accept, self.doubt
+        )
         self._chosen = False
         self._has_read = False
         self._doubts_until_s = 0.0
@@ -160,7 +161,7 @@
     @property
     def is_behind(self) -> bool:
         """Whether a newer table is on its way from a peer."""
-        return self._fetching is not None and not self._fetching.done()
+        return self._peers.fetching
 
     @property
     def away(self) -> bool:
@@ -260,48 +261,31 @@
             if self._heard is None or version > self._heard[1]:
                 self._heard = (address, version)
             return
-        if version > self._book.version and not self.is_behind:
-            self._fetching = asyncio.create_task(self._fetch(address, version))
-
-    def _fetch_what_was_heard(self) -> None:
-        """Asks who knows a newer table than the store, which may be older."""
-        heard, self._heard = self._heard, None
-        if heard is not None and heard[1] > self._book.version:
-            self._fetching = asyncio.create_task(self._fetch(*heard))
+        self._peers.fetch(address, version, self._own_watch_first_s())
 
     async def ask_peers(self, addresses: list[str]) -> bool:
         """Asks peers one after the other until one knows a table."""
         for address in addresses:
-            await self._fetch_now(address)
+            await self._peers.fetch_now(address)
             if self._book.table is not None:
                 return True
         return False
 
+    def _fetch_what_was_heard(self) -> None:
+        """Asks who knows a newer table than the store, which may be older."""
+        heard, self._heard = self._heard, None
+        if heard is not None:
+            self._peers.fetch(*heard, self._own_watch_first_s())
+
+    def _own_watch_first_s(self) -> float:
+        watches = self._chosen and not self._away
+        return _OWN_WATCH_FIRST_S if watches else 0.0
+
     def on_peer(self, message: dict[str, Any]) -> dict[str, Any]:
         """Answers a peer that asks for the table."""
         table = self._book.table
         return {"routes": table.to_json() if table else None}
 
-    async def _fetch(self, address: str, version: int) -> None:
-        if self._chosen and not self._away:
-            await asyncio.sleep(_OWN_WATCH_FIRST_S)
-        if version > self._book.version:
-            await self._fetch_now(address)
-
-    async def _fetch_now(self, address: str) -> None:
-        try:
-            answer = await self._link.ask(address, ROUTES, {}, _PEER_TIMEOUT_S)
-            data = answer.get("routes")
-            if data is not None:
-                self._accept(routes.table_from_json(data), f"peer {address}")
-        except errors.DispatchError as error:
-            _LOG.info("no routes from a peer", extra={"why": str(error)})
-        except errors.InvalidInputError as error:
-            _LOG.warning(
-                "a peer's routes are no use", extra={"why": str(error)}
-            )
-            self.doubt()
-
     def _take_all(self, events: store_lib.Events) -> None:
         for change in events.changes:
             if isinstance(change, store_lib.Item):
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -37,6 +37,7 @@
     quarantine_keeper as quarantine_keeper_lib,
 )
 from burdockfront_node.controllers import quota_exchange as quota_exchange_lib
+from burdockfront_node.controllers import quota_limits
 from burdockfront_node.controllers import route_joining as route_joining_lib
 from burdockfront_node.controllers import route_watch as route_watch_lib
 from burdockfront_node.controllers import store as store_lib
@@ -101,7 +102,7 @@
         )
         self._quotas = quota_exchange_lib.QuotaExchange(
             self._exchange,
-            quota_exchange_lib.BookLimits(self._book, self._place.quota_slack),
+            quota_limits.BookLimits(self._book, self._place.quota_slack),
             self._recorder,
             self._rng,
             self._ready,
