--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
@@ -0,0 +1,127 @@
+"""Compares kinds of admission over seeds and troubles, in the model of a site.
+
+python -m burdockfront_bench.site_model.compare flow level --seeds 4
+"""
+
+import dataclasses
+import statistics
+
+import cyclopts
+
+from burdockfront import registry
+from burdockfront_bench.site_model import sheet as sheet_lib
+from burdockfront_bench.site_model import site as site_lib
+
+CASES = registry.Registry("case of the model")
+_LENGTH_S = 12.0
+
+app = cyclopts.App(help=__doc__)
+
+Troubles = tuple[sheet_lib.Trouble, ...]
+
+
+@CASES.register("calm")
+def calm() -> Troubles:
+    """Nothing happens."""
+    return ()
+
+
+@CASES.register("burst")
+def burst() -> Troubles:
+    """Callers press for most of the run."""
+    return (sheet_lib.Trouble("burst", 2.0, 10.0, 1.7),)
+
+
+@CASES.register("shed")
+def shed() -> Troubles:
+    """Servers of the deepest service refuse a part, whatever their load."""
+    return (
+        sheet_lib.Trouble("burst", 2.0, 10.0, 1.4),
+        sheet_lib.Trouble("shed", 4.0, 6.0, 0.4, service="fees"),
+    )
+
+
+@CASES.register("slow")
+def slow() -> Troubles:
+    """A quarter of the servers takes five times as long."""
+    return (sheet_lib.Trouble("slow", 3.0, 6.0, 5.0, 0.25),)
+
+
+@CASES.register("lost")
+def lost() -> Troubles:
+    """A quarter of the nodes is gone for a while, beside a burst."""
+    return (
+        sheet_lib.Trouble("burst", 2.0, 10.0, 1.4),
+        sheet_lib.Trouble("lost", 4.0, 3.0, 1.0, 0.25),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """What one kind of admission came to in one case.
+
+    Attributes:
+        admission: The kind.
+        case: The case.
+        worth: Mean over the seeds.
+        spread: Deviation over the seeds.
+        useful: Share of the used slot time that went into good answers.
+        served: Share of requests that were served, by kind.
+    """
+
+    admission: str
+    case: str
+    worth: float
+    spread: float
+    useful: float
+    served: dict[str, float]
+
+
+def measure(admission: str, case: str, seeds: int) -> Row:
+    """Plays one case with several seeds."""
+    results = [
+        site_lib.run(
+            sheet_lib.evening(),
+            seed,
+            _LENGTH_S,
+            admission,
+            CASES.get(case)(),
+        )
+        for seed in range(seeds)
+    ]
+    worth = [result.worth for result in results]
+    return Row(
+        admission,
+        case,
+        statistics.mean(worth),
+        statistics.pstdev(worth),
+        statistics.mean(result.useful for result in results),
+        _served(results),
+    )
+
+
+def _served(results: list[site_lib.Result]) -> dict[str, float]:
+    found = {}
+    for name in sorted(results[0].tallies):
+        tallies = [result.tallies[name] for result in results]
+        served = sum(tally.in_time + tally.late for tally in tallies)
+        asked = sum(tally.asked for tally in tallies)
+        found[name] = round(served / max(1, asked), 3)
+    return found
+
+
+@app.default
+def main(*admissions: str, seeds: int = 3) -> None:
+    """Prints a row for each kind of admission and case."""
+    for case in CASES.names():
+        for admission in admissions or ("flow", "level", "limit"):
+            row = measure(admission, case, seeds)
+            print(
+                f"{row.case:6} {row.admission:6} worth {row.worth:.3f} "
+                f"+-{row.spread:.3f} useful {row.useful:.2f} {row.served}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -0,0 +1,248 @@
+"""Nodes of the model: the product's request path, without its sockets."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from burdockfront import accounts
+from burdockfront import guards
+from burdockfront import keyring
+from burdockfront import ledger
+from burdockfront import outcomes
+from burdockfront import policy as policy_lib
+from burdockfront import routes as routes_lib
+from burdockfront import timeline
+from burdockfront_bench.site_model import servers as servers_lib
+from burdockfront_bench.site_model import sheet as sheet_lib
+from burdockfront_client import attempts as attempts_lib
+from burdockfront_client import calls
+from burdockfront_client import dispatcher as dispatcher_lib
+from burdockfront_client import peers
+from burdockfront_node import availability
+from burdockfront_node import backend
+from burdockfront_node import guard as guard_lib
+from burdockfront_node import lineage as lineage_lib
+from burdockfront_node.filters import base
+from burdockfront_node.filters import chain
+from burdockfront_node.internal import messages
+
+HOST = "site.example"
+_ORDER = ("route", "dispatch")
+_LEDGER_BYTES = 10_000_000
+_TICKET_S = 900.0
+_RULES = availability.GuardRules(
+    drain_grace_s=0.0,
+    stall_floor_s=3.0,
+    moves_tickets=False,
+    refusals_lower_slots=False,
+)
+
+# Brings an attempt from a place to a guard, and waits so long for its answer.
+Carry = Callable[
+    ["Place", guards.Target, calls.Attempt, float], Awaitable[outcomes.Answer]
+]
+
+
+class _NoQuotas:
+    """Admits every account."""
+
+    is_known = True
+
+    def spend(
+        self, account: accounts.Account, rank: int, now_s: float
+    ) -> float | None:
+        return 0.0
+
+    async def ask(self, account: accounts.Account, rank: int) -> float:
+        return 0.0
+
+    def give_back(self, account: accounts.Account) -> None:
+        pass
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a node is, and what is beside it."""
+
+    node_id: str
+    data_center: str
+    service: sheet_lib.Service
+    speed: float
+
+    def target(self) -> guards.Target:
+        """Returns what routers know of it."""
+        return guards.Target(
+            node_id=self.node_id,
+            boot_id=f"{self.node_id}-boot",
+            service=self.service.name,
+            address=self.node_id,
+            data_center=self.data_center,
+            slots=self.service.slots,
+        )
+
+
+class ModelNode:
+    """A node with its backend server.
+
+    Args:
+        place: Where it is.
+        server: The backend server.
+        table: Operators' routes.
+        policy: Policy of all services.
+        rng: Source of randomness.
+        carry: Brings attempts to other nodes.
+        retry_burst: Unearned retries of a service that it may make.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        server: servers_lib.ModelServer,
+        table: routes_lib.RouteTable,
+        policy: policy_lib.Policy,
+        rng: random.Random,
+        carry: Carry,
+        retry_burst: float,
+    ):
+        self.place = place
+        self.server = server
+        recorder = timeline.Recorder(place.node_id, place.data_center, 1)
+        keys = keyring.KeyRing([], open_ring=True)
+        attempts = attempts_lib.AttemptBook()
+
+        def policy_of(service: str) -> policy_lib.Policy:
+            return policy
+
+        self.dispatcher = dispatcher_lib.Dispatcher(
+            place.node_id,
+            place.data_center,
+            keys,
+            policy_of,
+            recorder,
+            _TICKET_S,
+            rng,
+            retry_burst=retry_burst,
+            waits_longer=True,
+        )
+        router = self.dispatcher.router
+        lineage = lineage_lib.Lineage(
+            self.dispatcher.book, lambda: len(router.services())
+        )
+        self.dispatcher.observer = lineage.call_ended
+        ready = asyncio.Event()
+        ready.set()
+        self.guard = guard_lib.Guard(
+            place.node_id,
+            ledger.Ledger(
+                place.node_id, f"{place.node_id}-boot", _LEDGER_BYTES
+            ),
+            self.dispatcher,
+            attempts,
+            policy_of,
+            recorder,
+            time.time,
+            ready,
+            server,
+            _RULES,
+            lineage,
+        )
+        self.guard.announce(
+            backend.Announcement(
+                place.service.name,
+                place.node_id,
+                place.service.slots,
+                "ready",
+                0.0,
+                False,
+            )
+        )
+        self.dispatcher.sender.local_guard = self.guard.handle
+
+        async def transport(
+            attempt: calls.Attempt,
+            target: guards.Target,
+            timeout_s: float,
+            limit_bytes: int,
+        ) -> outcomes.Answer:
+            return await carry(place, target, attempt, timeout_s)
+
+        self.dispatcher.sender.transport = transport
+        book = routes_lib.RouteBook(rng)
+        book.accept(table)
+        routed = base.RoutedTools(
+            book,
+            frozenset(),
+            place.service.name,
+            lineage.is_new_work,
+            lineage.parent_of,
+            "",
+            frozenset(),
+            _NoQuotas(),
+        )
+        tools = base.Tools(
+            self.dispatcher,
+            attempts,
+            policy_of,
+            recorder,
+            lambda call: None,
+            routed,
+        )
+        self._chain = chain.build(tools, _ORDER)
+        server.send_call = self._send_call
+
+    async def ask(
+        self,
+        request_class: sheet_lib.RequestClass,
+        request_id: str,
+        left_s: float,
+    ) -> outcomes.Answer:
+        """Sends a request into this node, as its callers do."""
+        request = messages.Request(
+            "POST" if request_class.confirms else "GET",
+            f"/{request_class.name}/{request_id}",
+            (("host", HOST),),
+            b"",
+        )
+        entry = base.Entry(
+            request, caller_request_id=request_id, caller_waits_s=left_s
+        )
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._chain(entry)
+        except TimeoutError:
+            return outcomes.unknown(outcomes.Reason.DEADLINE)
+
+    async def _send_call(
+        self,
+        request_class: sheet_lib.RequestClass,
+        call_id: str,
+        until_s: float,
+    ) -> bool:
+        left_s = min(request_class.deadline_s, until_s - time.monotonic())
+        if left_s <= 0.0:
+            return False
+        answer = await self.ask(request_class, call_id, left_s)
+        return answer.outcome is outcomes.Outcome.DONE and answer.status < 500
+
+
+def as_received(attempt: calls.Attempt) -> calls.Attempt:
+    """Returns an attempt as another node reads it."""
+    context = attempt.context
+    call = dataclasses.replace(
+        attempt.call,
+        context=context,
+        deadline_s=time.monotonic() + context.remaining_s,
+        pool=calls.allowance.AllowancePool(context.allowance),
+        parent_class="",
+        trail=[],
+        arrivals=0,
+    )
+    return calls.Attempt(call, dataclasses.replace(context), attempt.ticket)
+
+
+def lost(target: guards.Target) -> peers.LostAnswerError:
+    """Returns the error of an answer that never came."""
+    return peers.LostAnswerError(f"{target.node_id} gave no answer.")
--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
@@ -0,0 +1,314 @@
+"""Runs a site: its nodes, its callers, and what happens to it."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+from typing import Any
+
+from burdockfront import guards
+from burdockfront import outcomes
+from burdockfront import policy as policy_lib
+from burdockfront import routes as routes_lib
+from burdockfront_bench import virtual_time
+from burdockfront_bench.site_model import nodes as nodes_lib
+from burdockfront_bench.site_model import servers as servers_lib
+from burdockfront_bench.site_model import sheet as sheet_lib
+from burdockfront_client import calls
+from burdockfront_client import peers
+
+_SLACK = 50.0
+_RATIO = 0.2
+_ATTEMPTS = 2
+# Of the time that is left a caller waits as told, but no longer.
+_PATIENCE_SHARE = 1.0 / 3.0
+_LATE_LIMIT = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of the requests of one kind."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a run came to.
+
+    Attributes:
+        tallies: By kind of request.
+        worth: Value of the answers, as a share of what all could have had.
+        useful: Share of the used slot time that went into good answers.
+    """
+
+    tallies: dict[str, Tally]
+    worth: float
+    useful: float
+
+
+class Site:
+    """A site in virtual time.
+
+    Args:
+        sheet: What it consists of.
+        seed: Of all draws.
+        admission: Kind of admission; see `burdockfront.admission`.
+        troubles: What happens to it.
+    """
+
+    def __init__(
+        self,
+        sheet: sheet_lib.Sheet,
+        seed: int,
+        admission: str = "flow",
+        troubles: tuple[sheet_lib.Trouble, ...] = (),
+    ):
+        self._sheet = sheet
+        self._rng = random.Random(seed)
+        self._troubles = troubles
+        self._classes = {one.name: one for one in sheet.classes}
+        self._policy = policy_lib.parse(_policy_document(admission))
+        self._tallies: dict[str, Tally] = collections.defaultdict(Tally)
+        self._nodes: dict[str, nodes_lib.ModelNode] = {}
+        self._earned = 0.0
+        self._owed = 0.0
+        self._began_s = 0.0
+
+    async def play(self, length_s: float) -> Result:
+        """Lets callers come for so long, and waits for their answers."""
+        self._began_s = time.monotonic()
+        self._build()
+        ticking = [
+            asyncio.create_task(node.guard.tick_forever())
+            for node in self._nodes.values()
+        ]
+        coming = [
+            asyncio.create_task(self._send_forever(one, length_s))
+            for one in self._sheet.classes
+            if one.rate_per_s
+        ]
+        for requests in await asyncio.gather(*coming):
+            await asyncio.gather(*requests)
+        for task in ticking:
+            task.cancel()
+        servers = [node.server for node in self._nodes.values()]
+        useful_s = sum(server.useful_s for server in servers)
+        used_s = useful_s + sum(server.wasted_s for server in servers)
+        return Result(
+            dict(self._tallies),
+            self._earned / max(1e-9, self._owed),
+            useful_s / max(1e-9, used_s),
+        )
+
+    # ---- building ---------------------------------------------------------
+
+    def _build(self) -> None:
+        places = list(self._places())
+        table = self._table()
+        for place in places:
+            self._nodes[place.node_id] = nodes_lib.ModelNode(
+                place,
+                self._server(place),
+                table,
+                self._policy,
+                random.Random(self._rng.getrandbits(64)),
+                self._carry,
+                _SLACK / 2 / len(places),
+            )
+        for node in self._nodes.values():
+            node.dispatcher.router.update(place.target() for place in places)
+
+    def _places(self) -> list[nodes_lib.Place]:
+        found: list[nodes_lib.Place] = []
+        names = self._sheet.data_centers
+        for service in self._sheet.services:
+            for number in range(service.servers):
+                found.append(
+                    nodes_lib.Place(
+                        f"{service.name}-{number}",
+                        names[len(found) % len(names)],
+                        service,
+                        service.speeds[number % len(service.speeds)],
+                    )
+                )
+        return found
+
+    def _server(self, place: nodes_lib.Place) -> servers_lib.ModelServer:
+        rng = random.Random(self._rng.getrandbits(64))
+        # Drawn once, so a share of servers is the same for the whole run.
+        luck = rng.random()
+
+        def struck(kind: str) -> list[sheet_lib.Trouble]:
+            return self._struck(kind, place.service.name, luck)
+
+        return servers_lib.ModelServer(
+            place.service, place.speed, self._classes, rng, struck
+        )
+
+    def _struck(
+        self, kind: str, service: str, luck: float
+    ) -> list[sheet_lib.Trouble]:
+        now_s = time.monotonic() - self._began_s
+        return [
+            trouble
+            for trouble in self._troubles
+            if trouble.kind == kind
+            and trouble.lasts(now_s)
+            and trouble.service in ("", service)
+            and luck < trouble.share
+        ]
+
+    def _table(self) -> routes_lib.RouteTable:
+        found = tuple(
+            routes_lib.Route(
+                name=one.name,
+                prefix=f"/{one.name}/",
+                repeat=(
+                    routes_lib.Repeat.AT_MOST_ONCE
+                    if one.confirms
+                    else routes_lib.Repeat.IDEMPOTENT
+                ),
+                shares=(routes_lib.Share(one.service, 1.0),),
+                timeout_s=one.deadline_s,
+                target_latency_s=one.target_s,
+                rank=one.rank,
+                max_attempts=_ATTEMPTS,
+            )
+            for one in self._sheet.classes
+        )
+        host = routes_lib.VirtualHost(nodes_lib.HOST, found)
+        return routes_lib.RouteTable(1, (host,))
+
+    # ---- ways -------------------------------------------------------------
+
+    async def _carry(
+        self,
+        origin: nodes_lib.Place,
+        target: guards.Target,
+        attempt: calls.Attempt,
+        timeout_s: float,
+    ) -> outcomes.Answer:
+        far = origin.data_center != target.data_center
+        way_s = self._sheet.far_s if far else self._sheet.near_s
+        await asyncio.sleep(way_s)
+        node = self._nodes[target.node_id]
+        if self._is_lost(node):
+            raise peers.UnreachableError(f"{target.node_id} is gone.")
+        received = nodes_lib.as_received(attempt)
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await node.guard.handle(received)
+        except TimeoutError:
+            raise nodes_lib.lost(target) from None
+        await asyncio.sleep(way_s)
+        return dataclasses.replace(answer)
+
+    def _is_lost(self, node: nodes_lib.ModelNode) -> bool:
+        return bool(node.server._struck("lost"))
+
+    # ---- callers ------------------------------------------------------------
+
+    async def _send_forever(
+        self, request_class: sheet_lib.RequestClass, length_s: float
+    ) -> list[asyncio.Task[None]]:
+        rng = random.Random(f"{self._rng.random()} {request_class.name}")
+        sent: list[asyncio.Task[None]] = []
+        until_s = self._began_s + length_s
+        while True:
+            rate = request_class.rate_per_s
+            for trouble in self._troubles:
+                now_s = time.monotonic() - self._began_s
+                if trouble.kind == "burst" and trouble.lasts(now_s):
+                    rate *= trouble.x
+            await asyncio.sleep(rng.expovariate(rate))
+            if time.monotonic() >= until_s:
+                return sent
+            number = f"{request_class.name}{len(sent)}"
+            asking = self._ask(request_class, number, rng)
+            sent.append(asyncio.create_task(asking))
+
+    async def _ask(
+        self,
+        request_class: sheet_lib.RequestClass,
+        number: str,
+        rng: random.Random,
+    ) -> None:
+        """A caller who comes back once, as told."""
+        began_s = time.monotonic()
+        answer = await self._try(request_class, f"{number}a", began_s, rng)
+        if answer.outcome is outcomes.Outcome.NOT_RUN:
+            left_s = began_s + request_class.deadline_s - time.monotonic()
+            wait_s = answer.retry_after_s or 0.0
+            if wait_s <= left_s * _PATIENCE_SHARE:
+                await asyncio.sleep(wait_s)
+                answer = await self._try(
+                    request_class, f"{number}b", began_s, rng
+                )
+        self._count(request_class, answer, time.monotonic() - began_s)
+
+    async def _try(
+        self,
+        request_class: sheet_lib.RequestClass,
+        request_id: str,
+        began_s: float,
+        rng: random.Random,
+    ) -> outcomes.Answer:
+        standing = [n for n in self._nodes.values() if not self._is_lost(n)]
+        node = rng.choice(standing)
+        left_s = began_s + request_class.deadline_s - time.monotonic()
+        return await node.ask(request_class, request_id, left_s)
+
+    def _count(
+        self,
+        request_class: sheet_lib.RequestClass,
+        answer: outcomes.Answer,
+        took_s: float,
+    ) -> None:
+        tally = self._tallies[request_class.name]
+        tally.asked += 1
+        self._owed += request_class.worth
+        good = (
+            answer.outcome is outcomes.Outcome.DONE
+            and answer.status < _LATE_LIMIT
+        )
+        if good and took_s <= request_class.target_s:
+            tally.in_time += 1
+            self._earned += request_class.worth
+        elif good:
+            tally.late += 1
+            self._earned += request_class.worth * request_class.late_worth
+        elif answer.outcome is outcomes.Outcome.NOT_RUN:
+            tally.refused += 1
+        else:
+            tally.failed += 1
+
+
+def run(
+    sheet: sheet_lib.Sheet,
+    seed: int,
+    length_s: float,
+    admission: str = "flow",
+    troubles: tuple[sheet_lib.Trouble, ...] = (),
+) -> Result:
+    """Plays a site in virtual time."""
+
+    async def play() -> Result:
+        return await Site(sheet, seed, admission, troubles).play(length_s)
+
+    return virtual_time.run(play())
+
+
+def _policy_document(admission: str) -> dict[str, Any]:
+    return {
+        "service": "any",
+        "deadline_s": 120,
+        "attempt_timeout_s": 120,
+        "retry": {"allowance": 1, "reroutes": 3, "ratio": _RATIO},
+        "admission": {"kind": admission, "queue_s": 0.15, "ramp_s": 0},
+    }
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -41,6 +41,11 @@
 _BYTES_PER_KB = 1000.0
 
 LocalGuard = Callable[[calls.Attempt], Awaitable[outcomes.Answer]]
+# Brings an attempt to a guard: the attempt, the guard, how long its answer is
+# waited for, and the largest answer in bytes.
+Transport = Callable[
+    [calls.Attempt, guards.Target, float, int], Awaitable[outcomes.Answer]
+]
 
 
 class Sender:
@@ -74,6 +79,7 @@
         self.link = call_link.CallLink(source_ip)
         self.keys = keys
         self.local_guard: LocalGuard | None = None
+        self.transport: Transport = self._over_network
         # Bytes to and from other data centres, by service and class.
         self.far_bytes: collections.Counter[str] = collections.Counter()
         self._margin_s = 0.0 if waits_longer else _ANSWER_MARGIN_S
@@ -183,6 +189,15 @@
     ) -> outcomes.Answer:
         if target.node_id == self._node_id and self.local_guard is not None:
             return await self.local_guard(attempt)
+        return await self.transport(attempt, target, timeout_s, limit_bytes)
+
+    async def _over_network(
+        self,
+        attempt: calls.Attempt,
+        target: guards.Target,
+        timeout_s: float,
+        limit_bytes: int,
+    ) -> outcomes.Answer:
         call = attempt.call
         attempt_id = attempt.context.attempt_id
         reply = await self.link.ask(
--- /dev/null
+++ b/tests/unit/test_site_model.py
@@ -0,0 +1,60 @@
+"""Loads on a whole site, in the model without a network.
+
+Each test names the pattern of load that it answers.
+"""
+
+import pytest
+
+from burdockfront_bench.site_model import sheet
+from burdockfront_bench.site_model import site
+
+_LENGTH_S = 5.0
+_BURST = sheet.Trouble("burst", 1.0, 4.0, 2.0)
+
+
+def _served(result: site.Result, name: str) -> float:
+    tally = result.tallies[name]
+    return (tally.in_time + tally.late) / tally.asked
+
+
+@pytest.fixture(scope="module")
+def burst() -> site.Result:
+    return site.run(sheet.evening(), 1, _LENGTH_S, troubles=(_BURST,))
+
+
+def test_run_repeats_exactly():
+    short = (sheet.Trouble("burst", 0.2, 0.5, 2.0),)
+    first = site.run(sheet.evening(), 5, 1.0, troubles=short)
+    assert first == site.run(sheet.evening(), 5, 1.0, troubles=short)
+
+
+def test_calm_evening_refuses_nobody():
+    """Pattern: all services have room."""
+    result = site.run(sheet.evening(), 1, 2.0)
+    assert sum(tally.refused for tally in result.tallies.values()) == 0
+    assert result.worth > 0.97
+
+
+def test_burst_on_the_deepest_service_sheds_listings_and_no_confirmation(burst):
+    """Pattern: callers press twice as hard, and few slots are at the bottom."""
+    assert _served(burst, "confirm") > 0.98
+    assert _served(burst, "browse") < 0.95
+    assert burst.tallies["browse"].refused > burst.tallies["browse"].failed
+
+
+def test_levels_beat_a_limit_per_hop_in_a_burst(burst):
+    """Pattern: the same, each guard first come first served in its place."""
+    hops = site.run(sheet.evening(), 1, _LENGTH_S, "limit", troubles=(_BURST,))
+    assert burst.worth > hops.worth
+    assert burst.useful > hops.useful, "less work for requests that die"
+    assert _served(burst, "confirm") > _served(hops, "confirm")
+
+
+def test_refusing_servers_get_their_retries_for_confirmations_first():
+    """Pattern: the deepest service refuses 4 in 10 while callers press."""
+    troubles = (
+        sheet.Trouble("burst", 0.5, 4.5, 1.4),
+        sheet.Trouble("shed", 1.0, 4.0, 0.4, service="fees"),
+    )
+    result = site.run(sheet.evening(), 2, _LENGTH_S, troubles=troubles)
+    assert _served(result, "confirm") > _served(result, "browse")
