--- a/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
@@ -35,6 +35,16 @@
 _SOON_S = 0.001
 
 
+class NotReadyError(errors.BurdockfrontError):
+    """A node that has just started was asked to keep quotas."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "this node does not know the others yet; report to another one, "
+            "and here again when it says that it is ready."
+        )
+
+
 class QuotaExchange:
     """Spends and reports at one node, and keeps for others when asked.
 
@@ -136,7 +146,13 @@
                 await self._report()
 
     def on_report(self, message: dict[str, Any]) -> dict[str, Any]:
-        """Answers the report of a peer."""
+        """Answers the report of a peer.
+
+        Raises:
+            NotReadyError: This node knows too few others to deal shares.
+        """
+        if not self.is_known:
+            raise NotReadyError()
         report = quota_wire.read_report(message)
         self._limits.look(time.monotonic())
         dealt = self.keeper.take(report, self._choice.nodes(), time.monotonic())
--- /dev/null
+++ b/tests/unit/test_quota_exchange.py
@@ -0,0 +1,169 @@
+"""Who keeps quotas, and what a node does when nobody answers."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from burdockfront import errors
+from burdockfront import members
+from burdockfront import membership
+from burdockfront import routes
+from burdockfront import timeline
+from burdockfront_bench import virtual_time
+from burdockfront_node.controllers import quota_exchange
+from burdockfront_node.controllers import quota_limits
+from burdockfront_node.controllers import quota_wire
+from tests import builders
+
+_ACME = builders.an_account("acme", "k", rate_per_s=50.0, burst=50.0)
+
+
+class _Link:
+    """The way to other nodes, some of which do not answer."""
+
+    def __init__(self) -> None:
+        self.silent: set[str] = set()
+        self.nodes: dict[str, quota_exchange.QuotaExchange] = {}
+        self.asked: list[str] = []
+
+    async def ask(
+        self, address: str, path: str, message: Any, timeout_s: float
+    ) -> Any:
+        self.asked.append(address)
+        await asyncio.sleep(0.001)
+        if address in self.silent:
+            await asyncio.sleep(timeout_s)
+            raise errors.DispatchError("silent")
+        try:
+            return self.nodes[address].on_report(message)
+        except quota_exchange.NotReadyError as error:
+            raise errors.DispatchError(str(error)) from None
+
+
+class _Exchange:
+    def __init__(self, number: int, count: int, link: _Link):
+        self.link = link
+        found = [
+            builders.a_member(
+                f"n{n}", incarnation=n + 1, address=f"10.0.0.{n}:1"
+            )
+            for n in range(count)
+        ]
+        self.membership = membership.Membership(
+            found[number], membership.Timing(), random.Random(1)
+        )
+        for member in found:
+            self.membership.merge(member.to_entry(), 0.0)
+
+
+def _nodes(count: int) -> tuple[_Link, list[quota_exchange.QuotaExchange]]:
+    link = _Link()
+    found = []
+    for number in range(count):
+        book = routes.RouteBook(random.Random(1))
+        book.accept(builders.a_table(1, accounts=(_ACME,)))
+        ready = asyncio.Event()
+        ready.set()
+        node = quota_exchange.QuotaExchange(
+            _Exchange(number, count, link),
+            quota_limits.BookLimits(book, 20.0),
+            timeline.Recorder(f"n{number}", "dc1", 100),
+            random.Random(number),
+            ready,
+        )
+        link.nodes[f"10.0.0.{number}:1"] = node
+        found.append(node)
+    return link, found
+
+
+async def _run(
+    found: list[quota_exchange.QuotaExchange], seconds: float
+) -> None:
+    tasks = [asyncio.create_task(node.report_forever()) for node in found]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+
+
+def test_all_report_to_the_node_that_has_run_longest():
+    async def scenario() -> None:
+        _, found = _nodes(4)
+        await _run(found, 2.0)
+        assert {node.keeper_id for node in found} == {"n0"}
+        assert found[0].keeper.reporters == 4
+        assert found[0].keeper.share == 1.0
+
+    virtual_time.run(scenario())
+
+
+def test_keeper_that_falls_silent_is_replaced_and_requests_go_on():
+    """Guards against requests that wait for a keeper that is gone."""
+
+    async def scenario() -> None:
+        link, found = _nodes(4)
+        tasks = [asyncio.create_task(node.report_forever()) for node in found]
+        await asyncio.sleep(3.0)
+        link.silent.add("10.0.0.0:1")
+        await asyncio.sleep(1.5)
+        assert {node.keeper_id for node in found[1:]} == {"n1"}
+        assert await found[2].ask(_ACME, 0) == 0.0
+        for task in tasks:
+            task.cancel()
+
+    virtual_time.run(scenario())
+
+
+def test_node_that_reaches_nobody_deals_itself_its_share():
+    """Guards against a whole quota at each node that is cut off."""
+
+    async def scenario() -> None:
+        link, found = _nodes(4)
+        link.silent |= {f"10.0.0.{n}:1" for n in range(3)}
+        await _run(found[3:], 3.0)
+        assert found[3].keeper_id == "n3"
+        assert found[3].keeper.share == 0.25
+
+    virtual_time.run(scenario())
+
+
+def test_node_that_has_just_started_keeps_nothing():
+    """Guards against shares of the few nodes that a new node knows."""
+    _, found = _nodes(2)
+    found[0]._ready.clear()
+    report = quota_exchange.quotas.Report("n1")
+    with pytest.raises(quota_exchange.NotReadyError, match="another one"):
+        found[0].on_report(quota_wire.write_report(report))
+
+
+def test_caller_who_leaves_while_it_waits_gives_its_token_back():
+    async def scenario() -> None:
+        _, found = _nodes(2)
+        waiting = asyncio.create_task(found[1].ask(_ACME, 0))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await _run(found, 3.0)
+        spent = found[1]._purse.report()
+        assert not waiting.done() or waiting.cancelled()
+        assert sum(entry.count for entry in spent) <= 0
+
+    virtual_time.run(scenario())
+
+
+def test_members_that_left_count_no_more_and_lost_ones_do():
+    """Guards against shares that grow while nodes are only cut off."""
+    _, found = _nodes(3)
+    choice = found[0]._choice
+    membership_of = found[0]._exchange.membership
+    assert choice.nodes() == 3
+    lost = builders.a_member(
+        "n2", incarnation=3, revision=1, status=members.Status.DEAD
+    )
+    membership_of.merge(lost.to_entry(), 0.0)
+    assert choice.nodes() == 3
+    left = builders.a_member(
+        "n1", incarnation=2, revision=1, status=members.Status.LEFT
+    )
+    membership_of.merge(left.to_entry(), 0.0)
+    assert choice.nodes() == 2
