--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_peers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_peers.py
@@ -1,6 +1,7 @@
 """Fetches operators' table from peers who know a newer one."""
 
 import asyncio
+import dataclasses
 import logging
 from collections.abc import Callable
 
@@ -36,6 +37,7 @@
         self._accept = accept
         self._on_useless = on_useless
         self._task: asyncio.Task[None] | None = None
+        self._next: _Heard | None = None
 
     @property
     def fetching(self) -> bool:
@@ -50,9 +52,16 @@
             version: Its version.
             wait_s: Time for it to come by another way first.
         """
-        if version > self._book.version and not self.fetching:
-            fetching = self._fetch_later(address, version, wait_s)
-            self._task = asyncio.create_task(fetching)
+        if version <= self._book.version:
+            return
+        if self.fetching:
+            # What is on its way may be older; nobody may tell of this again
+            # before the next probe.
+            if self._next is None or version > self._next.version:
+                self._next = _Heard(address, version)
+            return
+        heard = _Heard(address, version)
+        self._task = asyncio.create_task(self._fetch_newest(heard, wait_s))
 
     async def fetch_now(self, address: str) -> None:
         """Takes the table of a peer, if it answers."""
@@ -69,10 +78,20 @@
             )
             self._on_useless()
 
-    async def _fetch_later(
-        self, address: str, version: int, wait_s: float
-    ) -> None:
+    async def _fetch_newest(self, first: "_Heard", wait_s: float) -> None:
+        """Fetches until nothing newer was heard of meanwhile."""
         if wait_s:
             await asyncio.sleep(wait_s)
-        if version > self._book.version:
-            await self.fetch_now(address)
+        heard: _Heard | None = first
+        while heard is not None:
+            if heard.version > self._book.version:
+                await self.fetch_now(heard.address)
+            heard, self._next = self._next, None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    """A version that is in force at a peer."""
+
+    address: str
+    version: int
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -42,6 +42,9 @@
 # A waiting watch costs one call however long it waits; this is short enough
 # that a store which forgets its watches is asked again within a change or two.
 _WATCH_S = 20.0
+# Changes must be in force within two seconds; a silent store has to be found
+# out, and another watcher chosen, in less.
+_PING_S = 0.6
 # Time for the own watch to bring what a peer knows already.
 _OWN_WATCH_FIRST_S = 0.3
 # Stores keep a history of some tens of seconds. A watch from a revision that is
@@ -117,6 +120,8 @@
         # Whether what was read is still the beginning of what is watched.
         self._reads_anew = False
         self._waiting: asyncio.Task[store_lib.Events] | None = None
+        # Why a ping was not answered, while its watch is ended.
+        self._silent = ""
         self._known = asyncio.Event()
         self._heard: tuple[str, int] | None = None
         self._peers = route_peers.RoutePeers(
@@ -188,6 +193,7 @@
             self._note_away(str(error))
             return False
         self._note_back()
+        self._has_read = True
         self._reads_anew = False
         for item in page.items:
             self._take(item)
@@ -209,12 +215,29 @@
                 continue
             if not known or self._reads_anew:
                 known = await self.read()
-                self._has_read = self._has_read or known
                 if not known:
                     await asyncio.sleep(self._pause_s())
                 continue
             known = await self._watch_once()
 
+    async def _ping_until_silent(
+        self, watch: asyncio.Task[store_lib.Events]
+    ) -> None:
+        """Ends a watch that hears nothing because the store is silent.
+
+        A watch that waits and one that is not answered look alike for all of
+        its time. Where the store falls silent for all watchers and serves
+        operators, a change was in force nowhere until it spoke again.
+        """
+        while True:
+            await asyncio.sleep(_PING_S)
+            try:
+                await self._store.ping()
+            except errors.PlatformUnavailableError as error:
+                self._silent = str(error)
+                watch.cancel()
+                return
+
     def _is_cancelled(self) -> bool:
         """Whether the watch as a whole is to end."""
         task = asyncio.current_task()
@@ -234,11 +257,16 @@
         """Waits for changes once; returns whether nothing was missed."""
         watch = self._store.watch(self._prefix, self._after, _WATCH_S)
         self._waiting = asyncio.create_task(watch)
+        self._silent = ""
+        pings = asyncio.create_task(self._ping_until_silent(self._waiting))
         try:
             events = await self._waiting
         except asyncio.CancelledError:
-            if not self._reads_anew or self._is_cancelled():
+            ended = self._reads_anew or self._silent
+            if not ended or self._is_cancelled():
                 raise
+            if self._silent:
+                self._note_away(self._silent)
             return False
         except errors.PlatformUnavailableError as error:
             self._note_away(str(error))
@@ -248,6 +276,8 @@
             # Its history may be gone again by the time of the next watch.
             await asyncio.sleep(_REREAD_PAUSE_S)
             return False
+        finally:
+            pings.cancel()
         self._note_back()
         self._take_all(events)
         return True
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
@@ -22,6 +22,10 @@
 # Ten times the store's usual answer and some; one that is slower still ends
 # a call here, and the next call finds out whether it is back.
 _TIMEOUT_S = 1.5
+# A store that is slow answers within a quarter of a second.
+_PING_TIMEOUT_S = 0.5
+# Nobody writes there.
+_NO_KEYS = "burdockfront/none/"
 _FIRST_WAIT_S = 0.1
 # After an outage a node may be behind for this long, out of the seconds in
 # which a change must be in force.
@@ -216,6 +220,15 @@
         data = await self._ask(question, wait_s + _TIMEOUT_S)
         return self._understood(self._wire.read_events, data)
 
+    async def ping(self) -> None:
+        """Finds out whether the store answers, at a tenth of a read's price.
+
+        Raises:
+            PlatformUnavailableError: It does not, or not soon.
+        """
+        question = self._wire.page(_NO_KEYS, "", True)
+        await self._ask(question, _PING_TIMEOUT_S)
+
     async def write(
         self,
         writes: tuple[Write, ...],
