--- a/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/quota_exchange.py
@@ -14,8 +14,8 @@
 
 from burdockfront import accounts as accounts_lib
 from burdockfront import errors
+from burdockfront import local_quotas
 from burdockfront import quota_keeper
-from burdockfront import quota_purse
 from burdockfront import quotas
 from burdockfront import timeline
 from burdockfront_node.controllers import exchange as exchange_lib
@@ -70,7 +70,7 @@
         self._recorder = recorder
         self._rng = rng
         self.keeper = quota_keeper.QuotaKeeper(limits)
-        self._purse = quota_purse.QuotaPurse(limits, rng)
+        self._local = local_quotas.LocalQuotas(limits, rng)
         self._waiting: dict[tuple[str, int], list[asyncio.Future[float]]] = {}
         self._due = asyncio.Event()
         self._choice = quota_choice.KeeperChoice(exchange.membership)
@@ -89,7 +89,7 @@
     @property
     def scarce(self) -> frozenset[str]:
         """Accounts whose requests need tokens now."""
-        return self._purse.scarce
+        return self._local.scarce
 
     @property
     def keeper_id(self) -> str:
@@ -100,7 +100,7 @@
         self, account: accounts_lib.Account, rank: int, now_s: float
     ) -> float | None:
         """Spends one request at once; None if `ask` has to find out."""
-        refused_s = self._purse.spend(account.name, rank, now_s)
+        refused_s = self._local.spend(account.name, rank, now_s)
         if refused_s:
             self.refused[account.name] += 1
         return refused_s
@@ -109,13 +109,13 @@
         """Spends one request by a token of the keeper."""
         asked = (account.name, rank)
         wait_s = await self._ask_once(asked)
-        if 0.0 < wait_s <= quota_purse.SHORT_WAIT_S:
+        if 0.0 < wait_s <= local_quotas.SHORT_WAIT_S:
             await asyncio.sleep(wait_s)
             wait_s = await self._ask_once(asked)
         if not wait_s:
             return 0.0
         self.refused[account.name] += 1
-        return self._purse.retry_after_s(wait_s)
+        return self._local.retry_after_s(wait_s)
 
     async def _ask_once(self, asked: tuple[str, int]) -> float:
         """Returns 0 with a token, or when there will be one."""
@@ -128,12 +128,12 @@
         except asyncio.CancelledError:
             # Its caller left. A token that was dealt meanwhile is given back.
             if answer.done() and not answer.cancelled() and not answer.result():
-                self._purse.give_back(asked[0])
+                self._local.give_back(asked[0])
             raise
 
     def give_back(self, account: accounts_lib.Account) -> None:
         """Takes back a request that was admitted, and ran nowhere."""
-        self._purse.give_back(account.name)
+        self._local.give_back(account.name)
 
     async def report_forever(self) -> None:
         """Reports now and then, and at once when requests wait."""
@@ -166,9 +166,9 @@
             return
 
     async def _report(self) -> None:
-        self._purse.nodes = self._choice.nodes()
+        self._local.nodes = self._choice.nodes()
         waiting, self._waiting = self._waiting, {}
-        spent = self._purse.report()
+        spent = self._local.report()
         report = quotas.Report(
             self._exchange.membership.me.node_id,
             spent,
@@ -180,12 +180,12 @@
         try:
             dealt = await self._ask_keeper(report)
         except BaseException:
-            self._purse.unanswered(spent)
+            self._local.unanswered(spent)
             _refuse_all(waiting)
             raise
-        before = self._purse.scarce
-        self._purse.answered(dealt, time.monotonic())
-        self._note_scarce(before, self._purse.scarce)
+        before = self._local.scarce
+        self._local.answered(dealt, time.monotonic())
+        self._note_scarce(before, self._local.scarce)
         self._hand_out(dealt, waiting)
 
     async def _ask_keeper(self, report: quotas.Report) -> quotas.Dealt:
@@ -228,7 +228,7 @@
                 answer.set_result(0.0 if left else max(_SOON_S, granted.wait_s))
                 left -= 1 if left else 0
             for _ in range(left):
-                self._purse.give_back(granted.account)
+                self._local.give_back(granted.account)
         _refuse_all(waiting)
 
     def _note_keeper(self, node_id: str) -> None:
@@ -239,7 +239,7 @@
             "quota.keeper",
             before=self._keeper_id,
             keeper=node_id,
-            nodes=self._purse.nodes,
+            nodes=self._local.nodes,
         )
         self._keeper_id = node_id
 
--- a/packages/burdockfront/src/burdockfront/quota_purse.py
+++ b/packages/burdockfront/src/burdockfront/local_quotas.py
@@ -27,7 +27,7 @@
     wait_s: float
 
 
-class QuotaPurse:
+class LocalQuotas:
     """Counts and decides at one node.
 
     Args:
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -9,8 +9,8 @@
 import dataclasses
 import random
 
+from burdockfront import local_quotas
 from burdockfront import quota_keeper
-from burdockfront import quota_purse
 from burdockfront import quotas
 
 TICK_S = 0.01
@@ -56,7 +56,7 @@
         self.number = number
         self.born_s = born_s
         self.keeper = quota_keeper.QuotaKeeper(world.limits)
-        self.purse = quota_purse.QuotaPurse(world.limits, world.rng)
+        self.local = local_quotas.LocalQuotas(world.limits, world.rng)
         self.next_report_s = born_s + world.rng.uniform(0.0, REPORT_S)
         self.avoided: dict[int, float] = {}
         self.asked_last: int | None = None
@@ -148,7 +148,7 @@
         node = self._nodes[number]
         if not self._is_up(node):
             return
-        refused_s = node.purse.spend(ACCOUNT, 0, self.now_s)
+        refused_s = node.local.spend(ACCOUNT, 0, self.now_s)
         if refused_s is None:
             refused_s = self._ask(node)
         if refused_s:
@@ -161,13 +161,13 @@
         granted = dealt.granted[0]
         if granted.count:
             return 0.0
-        return node.purse.retry_after_s(granted.wait_s)
+        return node.local.retry_after_s(granted.wait_s)
 
     def _report(
         self, node: _Node, wanted: tuple[quotas.Wanted, ...]
     ) -> quotas.Dealt:
-        node.purse.nodes = len(self._nodes)
-        report = quotas.Report(node.name, node.purse.report(), wanted)
+        node.local.nodes = len(self._nodes)
+        report = quotas.Report(node.name, node.local.report(), wanted)
         keeper = self._keeper_of(node)
         if keeper.number != node.asked_last:
             node.asked_last = keeper.number
@@ -176,7 +176,7 @@
         dealt = keeper.keeper.take(report, len(self._nodes), self.now_s)
         if not self.way.unasked:
             dealt = dataclasses.replace(dealt, scarce=frozenset([ACCOUNT]))
-        node.purse.answered(dealt, self.now_s)
+        node.local.answered(dealt, self.now_s)
         node.next_report_s = self.now_s + REPORT_S
         return dealt
 
--- a/tests/unit/test_quota_exchange.py
+++ b/tests/unit/test_quota_exchange.py
@@ -144,7 +144,7 @@
         await asyncio.sleep(0)
         waiting.cancel()
         await _run(found, 3.0)
-        spent = found[1]._purse.report()
+        spent = found[1]._local.report()
         assert not waiting.done() or waiting.cancelled()
         assert sum(entry.count for entry in spent) <= 0
 
