--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
@@ -9,6 +9,7 @@
 import cyclopts
 
 from burdockfront import registry
+from burdockfront_bench.site_model import results as results_lib
 from burdockfront_bench.site_model import sheet as sheet_lib
 from burdockfront_bench.site_model import site as site_lib
 
@@ -100,7 +101,7 @@
     )
 
 
-def _served(results: list[site_lib.Result]) -> dict[str, float]:
+def _served(results: list[results_lib.Result]) -> dict[str, float]:
     found = {}
     for name in sorted(results[0].tallies):
         tallies = [result.tallies[name] for result in results]
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -46,7 +46,7 @@
 ]
 
 
-class _NoQuotas:
+class NoQuotas:
     """Admits every account."""
 
     is_known = True
@@ -54,13 +54,15 @@
     def spend(
         self, account: accounts.Account, rank: int, now_s: float
     ) -> float | None:
+        """Admits a request."""
         return 0.0
 
     async def ask(self, account: accounts.Account, rank: int) -> float:
+        """Admits a request."""
         return 0.0
 
     def give_back(self, account: accounts.Account) -> None:
-        pass
+        """Nothing was spent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,7 +182,7 @@
             lineage.parent_of,
             "",
             frozenset(),
-            _NoQuotas(),
+            NoQuotas(),
         )
         tools = base.Tools(
             self.dispatcher,
--- /dev/null
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
@@ -0,0 +1,29 @@
+"""What a run of a site came to."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What became of the requests of one kind."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a run came to.
+
+    Attributes:
+        tallies: By kind of request.
+        worth: Value of the answers, as a share of what all could have had.
+        useful: Share of the used slot time that went into good answers.
+    """
+
+    tallies: dict[str, Tally]
+    worth: float
+    useful: float
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
@@ -13,6 +13,7 @@
 from burdockfront import routes as routes_lib
 from burdockfront_bench import virtual_time
 from burdockfront_bench.site_model import nodes as nodes_lib
+from burdockfront_bench.site_model import results
 from burdockfront_bench.site_model import servers as servers_lib
 from burdockfront_bench.site_model import sheet as sheet_lib
 from burdockfront_client import calls
@@ -26,32 +27,6 @@
 _LATE_LIMIT = 500
 
 
-@dataclasses.dataclass(slots=True)
-class Tally:
-    """What became of the requests of one kind."""
-
-    asked: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """What a run came to.
-
-    Attributes:
-        tallies: By kind of request.
-        worth: Value of the answers, as a share of what all could have had.
-        useful: Share of the used slot time that went into good answers.
-    """
-
-    tallies: dict[str, Tally]
-    worth: float
-    useful: float
-
-
 class Site:
     """A site in virtual time.
 
@@ -74,13 +49,15 @@
         self._troubles = troubles
         self._classes = {one.name: one for one in sheet.classes}
         self._policy = policy_lib.parse(_policy_document(admission))
-        self._tallies: dict[str, Tally] = collections.defaultdict(Tally)
+        self._tallies: dict[str, results.Tally] = collections.defaultdict(
+            results.Tally
+        )
         self._nodes: dict[str, nodes_lib.ModelNode] = {}
         self._earned = 0.0
         self._owed = 0.0
         self._began_s = 0.0
 
-    async def play(self, length_s: float) -> Result:
+    async def play(self, length_s: float) -> results.Result:
         """Lets callers come for so long, and waits for their answers."""
         self._began_s = time.monotonic()
         self._build()
@@ -100,7 +77,7 @@
         servers = [node.server for node in self._nodes.values()]
         useful_s = sum(server.useful_s for server in servers)
         used_s = useful_s + sum(server.wasted_s for server in servers)
-        return Result(
+        return results.Result(
             dict(self._tallies),
             self._earned / max(1e-9, self._owed),
             useful_s / max(1e-9, used_s),
@@ -295,10 +272,10 @@
     length_s: float,
     admission: str = "flow",
     troubles: tuple[sheet_lib.Trouble, ...] = (),
-) -> Result:
+) -> results.Result:
     """Plays a site in virtual time."""
 
-    async def play() -> Result:
+    async def play() -> results.Result:
         return await Site(sheet, seed, admission, troubles).play(length_s)
 
     return virtual_time.run(play())
--- a/tests/route_chain.py
+++ b/tests/route_chain.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 
-from burdockfront import accounts
 from burdockfront import context as context_lib
 from burdockfront import outcomes
 from burdockfront import policy
 from burdockfront import routes
 from burdockfront import timeline
+from burdockfront_bench.site_model import nodes
 from burdockfront_client import attempts
 from burdockfront_node.filters import base
 from burdockfront_node.filters import route as route_lib
@@ -18,23 +18,6 @@
 _HEADERS = (("host", "shop.example"), ("deadline", "9"), ("x", "y"))
 
 
-class NoQuotas:
-    """Admits everything."""
-
-    is_known = True
-
-    def spend(
-        self, account: accounts.Account, rank: int, now_s: float
-    ) -> float | None:
-        return 0.0
-
-    async def ask(self, account: accounts.Account, rank: int) -> float:
-        return 0.0
-
-    def give_back(self, account: accounts.Account) -> None:
-        pass
-
-
 class RouteChain:
     """A filter of routes, and what it uses.
 
@@ -64,7 +47,7 @@
             lambda request_id: parent,
             "x-api-key",
             frozenset(["x-api-key", "tenant"]),
-            quotas or NoQuotas(),
+            quotas or nodes.NoQuotas(),
         )
         tools = base.Tools(
             builders.a_dispatcher(self.recorder),
--- a/tests/unit/test_site_model.py
+++ b/tests/unit/test_site_model.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from burdockfront_bench.site_model import results
 from burdockfront_bench.site_model import sheet
 from burdockfront_bench.site_model import site
 
@@ -12,13 +13,13 @@
 _BURST = sheet.Trouble("burst", 1.0, 4.0, 2.0)
 
 
-def _served(result: site.Result, name: str) -> float:
+def _served(result: results.Result, name: str) -> float:
     tally = result.tallies[name]
     return (tally.in_time + tally.late) / tally.asked
 
 
 @pytest.fixture(scope="module")
-def burst() -> site.Result:
+def burst() -> results.Result:
     return site.run(sheet.evening(), 1, _LENGTH_S, troubles=(_BURST,))
 
 
