The model's store answers pings, loses answers to watches, and can fall silent

The model of many nodes had no ping: the task that pings beside a watch ended with an AttributeError that nobody saw, so that what mended never ran there. Its store could refuse a node, and could not stay silent, nor lose the answer to a watch that waits, nor could a data centre be cut off from the others.

--- a/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
@@ -277,10 +277,12 @@
             await asyncio.sleep(_NEAR_S)
             raise errors.DispatchError("refused")
         lost = self._rng.random() < faults.loss
-        if lost or {sender, node.name} & faults.cut:
+        far = node.data_center != here.data_center
+        places = {here.data_center, node.data_center}
+        apart = far and bool(places & faults.cut_data_centers)
+        if lost or apart or {sender, node.name} & faults.cut:
             await asyncio.sleep(min(timeout_s, _CONNECT_S))
             raise errors.DispatchError("silent")
-        far = node.data_center != here.data_center
         way_s = _FAR_S if far else _NEAR_S
         await asyncio.sleep(way_s)
         answer = node.handler(path)(orjson.loads(orjson.dumps(message)))
--- a/packages/burdockfront-bench/src/burdockfront_bench/model_store.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/model_store.py
@@ -10,6 +10,9 @@
 from burdockfront_node.controllers import store as store_lib
 
 _STORE_S = 0.004
+# As the client of the store waits.
+_TIMEOUT_S = 1.5
+_PING_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,14 +22,23 @@
     Attributes:
         down: Names of nodes whose process is gone.
         cut: Names of nodes that reach no other node, and are not reached.
+        cut_data_centers: Data centres that reach no other one.
         store_refuses: Names of nodes that the store turns away.
+        store_silent: Names of nodes that the store does not answer. An answer
+            that falls into that time never comes, nor does another one on its
+            connection.
         loss: Part of the messages between nodes that is lost.
+        watches_lost: Part of the answers to watches that never come, while all
+            else is answered.
     """
 
     down: set[str] = dataclasses.field(default_factory=set)
     cut: set[str] = dataclasses.field(default_factory=set)
+    cut_data_centers: set[str] = dataclasses.field(default_factory=set)
     store_refuses: set[str] = dataclasses.field(default_factory=set)
+    store_silent: set[str] = dataclasses.field(default_factory=set)
     loss: float = 0.0
+    watches_lost: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,6 +153,7 @@
         self._faults = faults
         self._costs = costs
         self._name = name
+        self._rng = rng
         self.link = _Link(rng)
 
     async def read(self, prefix: str, stale: bool = False) -> store_lib.Page:
@@ -152,12 +165,22 @@
         items = self._store.below(prefix)
         return store_lib.Page(items, False, self._store.revision)
 
+    async def ping(self) -> int:
+        """Returns the store's revision."""
+        await self._pay("ping", 1, _PING_TIMEOUT_S)
+        return self._store.revision
+
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> store_lib.Events:
         """Waits for changes."""
+        until_s = asyncio.get_running_loop().time() + wait_s + _TIMEOUT_S
         await self._pay("watch", 10)
         found = await self._store.changes(prefix, after, wait_s)
+        silent = self._name in self._faults.store_silent
+        if silent or self._rng.random() < self._faults.watches_lost:
+            await asyncio.sleep(until_s - asyncio.get_running_loop().time())
+            raise self._failed("silent")
         await self._pay("", 0)
         return store_lib.Events(found, self._store.revision)
 
@@ -181,11 +204,19 @@
         """Renews a lease."""
         await self._pay("renewal", 1)
 
-    async def _pay(self, kind: str, tenths: int) -> None:
+    async def _pay(
+        self, kind: str, tenths: int, timeout_s: float = _TIMEOUT_S
+    ) -> None:
         if kind:
             self._costs.store_tenths[kind] += tenths
+        if self._name in self._faults.store_silent:
+            await asyncio.sleep(timeout_s)
+            raise self._failed("silent")
         await asyncio.sleep(_STORE_S)
         if self._name in self._faults.store_refuses:
-            self.link.backoff.failed(asyncio.get_running_loop().time())
-            raise errors.PlatformUnavailableError("turned away")
+            raise self._failed("turned away")
         self.link.backoff.succeeded()
+
+    def _failed(self, why: str) -> errors.PlatformUnavailableError:
+        self.link.backoff.failed(asyncio.get_running_loop().time())
+        return errors.PlatformUnavailableError(why)
--- a/tests/properties/test_routes_among_nodes.py
+++ b/tests/properties/test_routes_among_nodes.py
@@ -43,8 +43,9 @@
     def __init__(self, seed: int):
         self.fleet = exchange_model.Fleet(_NODES, _PLACES, seed)
         self.version = 1
-        self._since_s: dict[int, float] = {}
-        self._seen: dict[int, int] = {}
+        # By the name of the process.
+        self._since_s: dict[str, float] = {}
+        self._seen: dict[str, int] = {}
         self._changes_s: list[tuple[int, float]] = []
 
     async def begin(self) -> None:
@@ -86,7 +87,7 @@
                 self._look_at(node, loop.time())
 
     def _look_at(self, node: exchange_model.Node, now_s: float) -> None:
-        process = id(node)
+        process = node.membership.me.boot_id
         version = node.book.version
         assert version >= self._seen.get(process, -1), "went back"
         self._seen[process] = version
