Nodes know how long ago their table was last known to be the newest, and say so

Logs could not tell the hypotheses of the incident apart: no line said why a node believed its table to be the newest, when it last heard so and from whom, nor who it believed to watch the store. Now each node keeps that age. The store's answers confirm (a ping only where the store's revision is the one that is watched from), and each message between nodes passes the age on beside the version. Nothing is decided by it yet.

--- a/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
@@ -104,8 +104,8 @@
             self.ready,
             self._members_changed,
             rng,
-            lambda: self.book.version,
-            lambda address, version: self.watch.heard_of(address, version),
+            lambda: self.watch.freshness.claim(),
+            lambda address, claim: self.watch.heard_of(address, claim),
             self._doubt,
         )
         store: Any = model_store.StoreClient(
@@ -148,6 +148,7 @@
             self.directory.register_forever,
             self.directory.look_forever,
             self.watch.watch_forever,
+            self.watch.freshness.watch_forever,
             self.keeper.write_forever,
             self.keeper.read_forever,
             self.exchange.probe_forever,
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/exchange.py
@@ -5,8 +5,9 @@
 * A change is pushed at once to a few peers, who push it on: to some of the own
   data centre, and now and then to one of another (`Membership.far_share`).
 * Crashes of backend servers go with the messages as well (`crash_news`).
-* Messages carry the version of the routes in force. Whoever hears of a newer
-  one fetches the table from the sender, and tells others.
+* Messages carry the version of the routes in force, and how long ago it was
+  known to be the newest. Whoever hears of a newer one fetches the table from
+  the sender, and tells others.
 
 The cost per node does not depend on the number of nodes; what grows with it
 is only the number of changes, and those of members are paced (see
@@ -22,6 +23,7 @@
 from burdockfront import configuration as configuration_lib
 from burdockfront import errors
 from burdockfront import exchange_pace
+from burdockfront import freshness
 from burdockfront import members as members_lib
 from burdockfront import membership as membership_lib
 from burdockfront import tables
@@ -57,11 +59,11 @@
 _BURST_BYTES = 32_768
 
 
-def _no_routes() -> int:
-    return -1
+def _no_routes() -> freshness.Claim:
+    return freshness.Claim(-1)
 
 
-def _ignore(address: str, version: int) -> None:
+def _ignore(address: str, claim: freshness.Claim) -> None:
     pass
 
 
@@ -81,14 +83,15 @@
         ready: Whether this node knows the configuration.
         on_members: Called when beliefs about members changed.
         rng: Source of randomness.
-        routes_version: Returns the version of the table of routes in force.
+        routes: Returns what this node says of its table of routes.
         on_routes: Called with the address of a peer that was heard of, and
-            the version in force there.
+            what it says of its table.
         on_unanswered: Called when a member that was believed alive did not
             answer a probe.
 
     Attributes:
         crash_news: Crashes of backend servers, and who is told of them.
+        routes: Returns what this node says of its table of routes.
     """
 
     def __init__(
@@ -101,12 +104,12 @@
         ready: asyncio.Event,
         on_members: Callable[[], None],
         rng: random.Random,
-        routes_version: Callable[[], int] = _no_routes,
-        on_routes: Callable[[str, int], None] = _ignore,
+        routes: Callable[[], freshness.Claim] = _no_routes,
+        on_routes: Callable[[str, freshness.Claim], None] = _ignore,
         on_unanswered: Callable[[], None] = _do_nothing,
     ):
         self.link = link
-        self._routes_version = routes_version
+        self.routes = routes
         self._on_routes = on_routes
         self._on_unanswered = on_unanswered
         self.membership = membership
@@ -138,7 +141,7 @@
             ready,
             self._take,
             exchange_pace.ByteBudget(rate, _BURST_BYTES),
-            routes_version,
+            routes,
         )
         self._joins = joins.Joins(self.repairs, membership.me.address, rng)
 
@@ -356,7 +359,7 @@
             "c": _entries(documents, self._policy_rumors.take(_RIDERS, peers)),
             "x": self.crash_news.riders(riders, peers),
             "t": self._recorder.clock.tick(time.time()),
-            "rv": self._routes_version(),
+            **repairs_lib.claim_to_json(self.routes()),
             "a": self.membership.me.address,
         }
 
@@ -369,7 +372,7 @@
         """
         self._recorder.clock.observe(message.get("t", 0), time.time())
         if sender and "rv" in message:
-            self._on_routes(sender, int(message["rv"]))
+            self._on_routes(sender, repairs_lib.claim_from_json(message))
         for data in message["c"]:
             self.merge_policy(tables.entry_from_json(data))
         # Nodes of the release before know of no crashes.
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -19,6 +19,8 @@
 from burdockfront_node.controllers import store_link
 
 _KIB = 1024
+# For an age that is not known.
+_NEVER_S = -1.0
 
 
 class Metrics:
@@ -69,6 +71,7 @@
         """Returns values of this moment."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
         crashes = self._exchange.crash_news.book
+        claim = self._exchange.routes()
         return {
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
@@ -80,6 +83,8 @@
             "members.known": len(self._exchange.membership.members()),
             "requests.suspected": crashes.suspects,
             "requests.quarantined": len(crashes.quarantined),
+            "routes.version": claim.version,
+            "routes.age_s": _NEVER_S if claim.age_s is None else claim.age_s,
             "policy.revision": self._exchange.configuration.revision(),
             "process.cpu_s": round(usage.ru_utime + usage.ru_stime, 3),
             "process.max_rss_bytes": usage.ru_maxrss * _KIB,
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/repairs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/repairs.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -16,6 +17,7 @@
 from burdockfront import crashes as crashes_lib
 from burdockfront import errors
 from burdockfront import exchange_pace
+from burdockfront import freshness
 from burdockfront import membership as membership_lib
 from burdockfront_node.controllers import peer_link
 
@@ -40,7 +42,7 @@
         take: Takes the entries of a message into both tables, and the address
             of its sender.
         budget: What repairs of members may cost.
-        routes_version: Returns the version of the table of routes in force.
+        routes: Returns what this node says of its table of routes.
     """
 
     def __init__(
@@ -52,9 +54,9 @@
         ready: asyncio.Event,
         take: Callable[[dict[str, Any], str], None],
         budget: exchange_pace.ByteBudget,
-        routes_version: Callable[[], int],
+        routes: Callable[[], freshness.Claim],
     ):
-        self._routes_version = routes_version
+        self._routes = routes
         self.count = 0
         self._link = link
         self._membership = membership
@@ -118,7 +120,7 @@
             **self._question("mb" in message),
             **self._differing(message),
             "ready": self._ready.is_set(),
-            "rv": self._routes_version(),
+            **claim_to_json(self._routes()),
         }
 
     def _members_due(self, their_digest: str) -> bool:
@@ -155,6 +157,26 @@
         return found
 
 
+def claim_to_json(claim: freshness.Claim) -> dict[str, Any]:
+    """Returns the fields of a message that say something of a table."""
+    return {"rv": claim.version, "ra": claim.age_s}
+
+
+def claim_from_json(message: dict[str, Any]) -> freshness.Claim:
+    """Reads what a message says of its sender's table.
+
+    Raises:
+        ValueError: It is no number.
+    """
+    # Nodes of an earlier release say no age.
+    age_s = message.get("ra")
+    if age_s is not None:
+        age_s = float(age_s)
+        if not 0.0 <= age_s < math.inf:
+            raise ValueError(f"expected an age in seconds, got {age_s!r}")
+    return freshness.Claim(int(message["rv"]), age_s)
+
+
 @contextlib.contextmanager
 def understood(address: str) -> Iterator[None]:
     """Treats an answer that this release can't read as no answer.
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -29,10 +29,12 @@
 from typing import Protocol
 
 from burdockfront import errors
+from burdockfront import freshness
 from burdockfront import routes
 from burdockfront import timeline
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import peer_link
+from burdockfront_node.controllers import route_freshness
 from burdockfront_node.controllers import route_peers
 from burdockfront_node.controllers import store as store_lib
 
@@ -95,6 +97,9 @@
         recorder: Where events go.
         on_return: Called when the store answers again after failures.
         others: The other nodes, who are told what this one learns.
+
+    Attributes:
+        freshness: How long ago the table was known to be the newest.
     """
 
     def __init__(
@@ -133,6 +138,9 @@
         # When the store last told what is current.
         self._current_at_s = 0.0
         self._duty = asyncio.Event()
+        self.freshness = route_freshness.RouteFreshness(
+            book, recorder, self._believed_duty
+        )
 
     def choose(self, chosen: bool) -> None:
         """Takes whether this node is one of the watchers."""
@@ -187,6 +195,7 @@
         Not a stale read: a node that starts must not go back to a table that
         it had already replaced before it stopped.
         """
+        asked_s = time.monotonic()
         try:
             page = await self._store.read(self._prefix)
         except errors.PlatformUnavailableError as error:
@@ -199,6 +208,7 @@
             self._take(item)
         # Not the highest so far: a store that came back older counts anew.
         self._after = page.revision
+        self.freshness.confirm(asked_s, "store")
         self._fetch_what_was_heard()
         return True
 
@@ -231,18 +241,24 @@
         """
         while True:
             await asyncio.sleep(_PING_S)
+            asked_s = time.monotonic()
             try:
-                await self._store.ping()
+                revision = await self._store.ping()
             except errors.PlatformUnavailableError as error:
                 self._silent = str(error)
                 watch.cancel()
                 return
+            if revision <= self._after:
+                self.freshness.confirm(asked_s, "store")
 
     def _is_cancelled(self) -> bool:
         """Whether the watch as a whole is to end."""
         task = asyncio.current_task()
         return task is not None and task.cancelling() > 0
 
+    def _believed_duty(self) -> route_freshness.Duty:
+        return route_freshness.Duty(self._chosen, self._away)
+
     def _on_duty(self) -> bool:
         """Whether this node is to ask the store now."""
         doubts = time.monotonic() < self._doubts_until_s
@@ -280,12 +296,15 @@
             pings.cancel()
         self._note_back()
         self._take_all(events)
+        self.freshness.confirm(time.monotonic(), "store")
         return True
 
-    def heard_of(self, address: str, version: int) -> None:
-        """Takes the version in force at a peer."""
+    def heard_of(self, address: str, claim: freshness.Claim) -> None:
+        """Takes what a peer says of its table."""
         if not address:
             return
+        self.freshness.heard(address, claim)
+        version = claim.version
         if not self._has_read and not self._away:
             # The store's own answer is on its way; it may be enough.
             if self._heard is None or version > self._heard[1]:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/store.py
@@ -220,14 +220,17 @@
         data = await self._ask(question, wait_s + _TIMEOUT_S)
         return self._understood(self._wire.read_events, data)
 
-    async def ping(self) -> None:
-        """Finds out whether the store answers, at a tenth of a read's price.
+    async def ping(self) -> int:
+        """Returns the store's revision, at a tenth of a read's price.
+
+        It may be a little old.
 
         Raises:
-            PlatformUnavailableError: It does not, or not soon.
+            PlatformUnavailableError: No answer, or not soon.
         """
         question = self._wire.page(_NO_KEYS, "", True)
-        await self._ask(question, _PING_TIMEOUT_S)
+        data = await self._ask(question, _PING_TIMEOUT_S)
+        return self._understood(self._wire.read_page, data).revision
 
     async def write(
         self,
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -10,6 +10,7 @@
 
 from burdockfront import allowance as allowance_lib
 from burdockfront import configuration as configuration_lib
+from burdockfront import freshness
 from burdockfront import keyring as keyring_lib
 from burdockfront import ledger as ledger_lib
 from burdockfront import members as members_lib
@@ -123,7 +124,7 @@
             self._ready,
             self._members_changed,
             self._rng,
-            self._routes_version,
+            self._routes_claim,
             self._on_routes,
             self._on_unanswered,
         )
@@ -132,12 +133,12 @@
         self._log.write_event(event)
         self._latencies.observe(event)
 
-    def _routes_version(self) -> int:
-        """Returns the version of the routes in force; -1 without any."""
-        return -1
+    def _routes_claim(self) -> freshness.Claim:
+        """Returns what this node says of its table of routes."""
+        return freshness.Claim(-1)
 
-    def _on_routes(self, address: str, version: int) -> None:
-        """Takes the version in force at a peer."""
+    def _on_routes(self, address: str, claim: freshness.Claim) -> None:
+        """Takes what a peer says of its table of routes."""
 
     def _on_unanswered(self) -> None:
         """Notes that a member believed alive did not answer a probe."""
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -12,6 +12,7 @@
 import secrets
 import time
 
+from burdockfront import freshness
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import routes as routes_lib
 from burdockfront import watchers
@@ -73,15 +74,16 @@
         self._book = routes_lib.RouteBook(random.Random(secrets.randbits(64)))
         self._incarnations = incarnations_lib.Incarnations()
         self._refuses_after_s: float | None = None
+        self._watchers: tuple[str, ...] = ()
         super().__init__(settings, path)
 
     # ---- wiring ---------------------------------------------------------
 
-    def _routes_version(self) -> int:
-        return self._book.version
+    def _routes_claim(self) -> freshness.Claim:
+        return self._route_watch.freshness.claim()
 
-    def _on_routes(self, address: str, version: int) -> None:
-        self._route_watch.heard_of(address, version)
+    def _on_routes(self, address: str, claim: freshness.Claim) -> None:
+        self._route_watch.heard_of(address, claim)
 
     def _on_unanswered(self) -> None:
         self._route_watch.doubt()
@@ -165,7 +167,18 @@
     def _update_router(self) -> None:
         super()._update_router()
         self._dispatcher.set_retry_burst(self._retry_burst())
-        self._route_watch.choose(watchers.watches(self._exchange.membership))
+        self._choose_watchers()
+
+    def _choose_watchers(self) -> None:
+        """Finds out who is to watch the store, as far as this node knows."""
+        chosen = watchers.watchers_of(self._exchange.membership)
+        names = tuple(sorted(member.node_id for member in chosen))
+        if names != self._watchers:
+            self._watchers = names
+            self._recorder.record(
+                time.time(), "watchers.changed", watchers=names
+            )
+        self._route_watch.choose(self._settings.node_id in names)
 
     def _new_handover(self) -> handover_lib.Handover:
         return routed_handover.RoutedHandover(
@@ -299,6 +312,7 @@
             self._directory.register_forever,
             self._directory.look_forever,
             self._route_watch.watch_forever,
+            self._route_watch.freshness.watch_forever,
             self._quarantine_keeper.write_forever,
             self._quarantine_keeper.read_forever,
             self._first_look.look,
