A watch whose own answer was lost is found out by the store's revision

What callers saw: for up to 20 s after a confirmed change, requests run by the service of the older table and 404 for added routes, at all nodes.

Cause: silence was taken for "nothing has changed". A watch waits up to 21.5 s, and a waiting one and one whose answer is lost look alike. A ping beside it asked only whether the store answers, so an outage shorter than the time between two pings that took the answers of all watchers left no trace.

Ruled out: news between nodes (the nodes that watch were as far behind).

Mend: the ping brings the store's revision. One beyond what is watched from means that something has changed; where the watch does not bring it within 0.1 s, the items are read, and what is newer than the watch has brought ends it. Both at a tenth of a read's price. Worst 1.2 + 0.1 s and the news between nodes, of 2 s. A change of other keys costs one such read a watcher.

--- a/packages/burdockfront-bench/src/burdockfront_bench/model_store.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/model_store.py
@@ -153,7 +153,8 @@
         self._faults = faults
         self._costs = costs
         self._name = name
-        self._rng = rng
+        # Of its own: the node's chance must not hang on the store's faults.
+        self._lot = random.Random(f"watches of {name}")
         self.link = _Link(rng)
 
     async def read(self, prefix: str, stale: bool = False) -> store_lib.Page:
@@ -178,7 +179,7 @@
         await self._pay("watch", 10)
         found = await self._store.changes(prefix, after, wait_s)
         silent = self._name in self._faults.store_silent
-        if silent or self._rng.random() < self._faults.watches_lost:
+        if silent or self._lot.random() < self._faults.watches_lost:
             await asyncio.sleep(until_s - asyncio.get_running_loop().time())
             raise self._failed("silent")
         await self._pay("", 0)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -37,16 +37,11 @@
 from burdockfront_node.controllers import route_freshness
 from burdockfront_node.controllers import route_peers
 from burdockfront_node.controllers import store as store_lib
+from burdockfront_node.controllers import store_watch
 
 _LOG = logging.getLogger(__name__)
 
 ROUTES = route_peers.ROUTES
-# A waiting watch costs one call however long it waits; this is short enough
-# that a store which forgets its watches is asked again within a change or two.
-_WATCH_S = 20.0
-# Changes must be in force within two seconds; a silent store has to be found
-# out, and another watcher chosen, in less.
-_PING_S = 0.6
 # Time for the own watch to bring what a peer knows already.
 _OWN_WATCH_FIRST_S = 0.3
 # Stores keep a history of some tens of seconds. A watch from a revision that is
@@ -124,9 +119,9 @@
         self._away = False
         # Whether what was read is still the beginning of what is watched.
         self._reads_anew = False
-        self._waiting: asyncio.Task[store_lib.Events] | None = None
-        # Why a ping was not answered, while its watch is ended.
-        self._silent = ""
+        self._watch = store_watch.StoreWatch(
+            store, prefix, self._confirm, self._on_duty
+        )
         self._known = asyncio.Event()
         self._heard: tuple[str, int] | None = None
         self._peers = route_peers.RoutePeers(
@@ -161,10 +156,8 @@
         """
         self._reads_anew = True
         self._duty.set()
-        waiting = self._waiting
-        if waiting is not None and waiting is not asyncio.current_task():
-            # It waits for changes after a revision that will be another one.
-            waiting.cancel()
+        # It waits for changes after a revision that will be another one.
+        self._watch.stop()
 
     @property
     def revision(self) -> int:
@@ -208,7 +201,7 @@
             self._take(item)
         # Not the highest so far: a store that came back older counts anew.
         self._after = page.revision
-        self.freshness.confirm(asked_s, "store")
+        self._confirm(asked_s)
         self._fetch_what_was_heard()
         return True
 
@@ -230,31 +223,8 @@
                 continue
             known = await self._watch_once()
 
-    async def _ping_until_silent(
-        self, watch: asyncio.Task[store_lib.Events]
-    ) -> None:
-        """Ends a watch that hears nothing because the store is silent.
-
-        A watch that waits and one that is not answered look alike for all of
-        its time. Where the store falls silent for all watchers and serves
-        operators, a change was in force nowhere until it spoke again.
-        """
-        while True:
-            await asyncio.sleep(_PING_S)
-            asked_s = time.monotonic()
-            try:
-                revision = await self._store.ping()
-            except errors.PlatformUnavailableError as error:
-                self._silent = str(error)
-                watch.cancel()
-                return
-            if revision <= self._after:
-                self.freshness.confirm(asked_s, "store")
-
-    def _is_cancelled(self) -> bool:
-        """Whether the watch as a whole is to end."""
-        task = asyncio.current_task()
-        return task is not None and task.cancelling() > 0
+    def _confirm(self, at_s: float) -> None:
+        self.freshness.confirm(at_s, "store")
 
     def _believed_duty(self) -> route_freshness.Duty:
         return route_freshness.Duty(self._chosen, self._away)
@@ -271,18 +241,9 @@
 
     async def _watch_once(self) -> bool:
         """Waits for changes once; returns whether nothing was missed."""
-        watch = self._store.watch(self._prefix, self._after, _WATCH_S)
-        self._waiting = asyncio.create_task(watch)
-        self._silent = ""
-        pings = asyncio.create_task(self._ping_until_silent(self._waiting))
         try:
-            events = await self._waiting
-        except asyncio.CancelledError:
-            ended = self._reads_anew or self._silent
-            if not ended or self._is_cancelled():
-                raise
-            if self._silent:
-                self._note_away(self._silent)
+            events = await self._watch.wait(self._after)
+        except store_watch.StoppedError:
             return False
         except errors.PlatformUnavailableError as error:
             self._note_away(str(error))
@@ -292,11 +253,9 @@
             # Its history may be gone again by the time of the next watch.
             await asyncio.sleep(_REREAD_PAUSE_S)
             return False
-        finally:
-            pings.cancel()
         self._note_back()
         self._take_all(events)
-        self.freshness.confirm(time.monotonic(), "store")
+        self._confirm(time.monotonic())
         return True
 
     def heard_of(self, address: str, claim: freshness.Claim) -> None:
