A node whose table nobody confirms asks the store itself

Cause: who watches the store follows from each node's own view of the others, and silence was trusted whatever made it.

A failure leaves it off duty: otherwise an outage would be met by all nodes.

--- a/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
@@ -128,6 +128,7 @@
             recorder,
             self._store_returned,
             route_watch_lib.OtherNodes(self.exchange),
+            rng,
         )
         self._joining = route_joining_lib.RouteJoining(
             self.directory,
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_freshness.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_freshness.py
@@ -1,8 +1,16 @@
-"""Whether this node still knows that its table of routes is the newest."""
+"""Whether this node still knows that its table of routes is the newest.
+
+Few nodes watch the store for all. Which ones follows from what each node knows
+of the others, and for a while each may believe that another one watches. A node
+to which nobody has confirmed its table for long does not trust in that, and
+asks the store itself.
+"""
 
 import asyncio
 import dataclasses
+import random
 import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from burdockfront import freshness
@@ -11,8 +19,11 @@
 
 # News of the store passes from node to node with their probes, one a second
 # each: it is seldom older than a few seconds, with hundreds of nodes too.
-UNCONFIRMED_S = 8.0
+UNCONFIRMED_S = 6.0
 _LOOK_S = 1.0
+# Where the store answers nobody, nobody is confirmed anything: all nodes
+# together ask it twenty times a second then, however many they are.
+_ASKS_APART_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,10 +33,12 @@
     Attributes:
         watching: It is to watch the store itself.
         store_away: The store did not answer its last question.
+        nodes: How many nodes it knows.
     """
 
     watching: bool
     store_away: bool
+    nodes: int
 
 
 class RouteFreshness:
@@ -35,6 +48,8 @@
         book: The table in force.
         recorder: Where events go.
         duty: Returns what this node believes of who asks the store.
+        ask: Asks the store whether there is a newer table.
+        rng: Source of randomness.
     """
 
     def __init__(
@@ -42,7 +57,11 @@
         book: routes.RouteBook,
         recorder: timeline.Recorder,
         duty: Callable[[], Duty],
+        ask: Callable[[], Awaitable[None]],
+        rng: random.Random,
     ):
+        self._ask = ask
+        self._rng = rng
         self._book = book
         self._recorder = recorder
         self._duty = duty
@@ -70,13 +89,25 @@
         self.confirm(time.monotonic() - claim.age_s, address)
 
     async def watch_forever(self) -> None:
-        """Notes it when nobody has confirmed the table for long."""
+        """Asks when nobody has confirmed the table for long."""
         while True:
             left_s = self._left_s()
-            if left_s <= 0.0 and not self._unconfirmed:
+            if left_s > 0.0:
+                await asyncio.sleep(max(_LOOK_S, left_s))
+                continue
+            if not self._unconfirmed:
                 self._unconfirmed = True
                 self._record("routes.unconfirmed")
-            await asyncio.sleep(max(_LOOK_S, left_s))
+            await self._ask_in_turn()
+
+    async def _ask_in_turn(self) -> None:
+        """Asks after a wait, unless somebody confirms the table meanwhile."""
+        longest_s = _ASKS_APART_S * self._duty().nodes
+        await asyncio.sleep(self._rng.uniform(0.0, longest_s))
+        if self._left_s() <= 0.0:
+            await self._ask()
+        if self._left_s() <= 0.0:
+            await asyncio.sleep(_LOOK_S)
 
     def _left_s(self) -> float:
         """Returns how long the last confirmation is still good for."""
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -11,6 +11,7 @@
   back to a table that it had already replaced before it stopped;
 * while it is one of the watchers, or the store did not answer its last
   question;
+* once when nobody has confirmed its table for seconds (`route_freshness`);
 * after a probe that a member did not answer: it may be this node that is cut
   off from the others, and it would go on under an old table without noticing,
   though callers and the store still reach it. Asking for each lost member costs
@@ -23,6 +24,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -44,6 +46,9 @@
 ROUTES = route_peers.ROUTES
 # Time for the own watch to bring what a peer knows already.
 _OWN_WATCH_FIRST_S = 0.3
+# Nodes that start together learn of each other in this time; before, each takes
+# itself for one that is to watch.
+_SETTLE_S = 0.3
 # Stores keep a history of some tens of seconds. A watch from a revision that is
 # older than this may be in vain, and costs a call more than reading at once.
 _HISTORY_S = 10.0
@@ -64,6 +69,9 @@
     def tell_store_away(self, away: bool) -> None:
         """Tells them whether the store answers this node."""
 
+    def count(self) -> int:
+        """Returns how many nodes are known."""
+
 
 class OtherNodes:
     """Tells the other nodes by the exchange."""
@@ -79,6 +87,10 @@
         """Tells them whether the store answers this node."""
         self._exchange.update_me(store_away=away)
 
+    def count(self) -> int:
+        """Returns how many nodes are known."""
+        return len(self._exchange.membership.usable())
+
 
 class RouteWatch:
     """Keeps the table in force up to date.
@@ -92,6 +104,7 @@
         recorder: Where events go.
         on_return: Called when the store answers again after failures.
         others: The other nodes, who are told what this one learns.
+        rng: Source of randomness.
 
     Attributes:
         freshness: How long ago the table was known to be the newest.
@@ -107,6 +120,7 @@
         recorder: timeline.Recorder,
         on_return: Callable[[], None],
         others: Others,
+        rng: random.Random,
     ):
         self._others = others
         self._store = store
@@ -134,7 +148,7 @@
         self._current_at_s = 0.0
         self._duty = asyncio.Event()
         self.freshness = route_freshness.RouteFreshness(
-            book, recorder, self._believed_duty
+            book, recorder, self._believed_duty, self._ask_once, rng
         )
 
     def choose(self, chosen: bool) -> None:
@@ -217,9 +231,12 @@
                 known = known and age_s < _HISTORY_S
                 continue
             if not known or self._reads_anew:
+                first = not self._has_read
                 known = await self.read()
                 if not known:
                     await asyncio.sleep(self._pause_s())
+                elif first:
+                    await asyncio.sleep(_SETTLE_S)
                 continue
             known = await self._watch_once()
 
@@ -227,7 +244,27 @@
         self.freshness.confirm(at_s, "store")
 
     def _believed_duty(self) -> route_freshness.Duty:
-        return route_freshness.Duty(self._chosen, self._away)
+        return route_freshness.Duty(
+            self._chosen, self._away, self._others.count()
+        )
+
+    async def _ask_once(self) -> None:
+        """Reads the table, though that is not up to this node.
+
+        A failure changes nothing: were it to ask again and again from then on,
+        an outage of the store would be met by the questions of all nodes.
+        """
+        if self._on_duty():
+            return
+        asked_s = time.monotonic()
+        try:
+            page = await self._store.read(self._prefix)
+        except errors.PlatformUnavailableError as error:
+            _LOG.info("the store was asked in vain", extra={"why": str(error)})
+            return
+        for item in page.items:
+            self._take(item)
+        self._confirm(asked_s)
 
     def _on_duty(self) -> bool:
         """Whether this node is to ask the store now."""
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -125,6 +125,7 @@
             self._recorder,
             self._store_returned,
             route_watch_lib.OtherNodes(self._exchange),
+            self._rng,
         )
         self._joining_routes = route_joining_lib.RouteJoining(
             self._directory,
--- a/tests/unit/test_freshness.py
+++ b/tests/unit/test_freshness.py
@@ -45,8 +45,16 @@
         self.belief = route_freshness.RouteFreshness(
             routes.RouteBook(random.Random(1)),
             self.recorder,
-            lambda: route_freshness.Duty(watching=False, store_away=True),
+            lambda: route_freshness.Duty(
+                watching=False, store_away=True, nodes=10
+            ),
+            self._ask,
+            random.Random(1),
         )
+        self.asked = 0
+
+    async def _ask(self) -> None:
+        self.asked += 1
 
     def events(self) -> list[timeline.Event]:
         return list(
@@ -64,6 +72,7 @@
         await asyncio.sleep(3 * route_freshness.UNCONFIRMED_S)
         node.belief.heard("10.0.0.3:1", freshness.Claim(-1, 0.5))
         watching.cancel()
+        assert node.asked > 0
         return node.events()
 
     events = sorted(virtual_time.run(scenario()), key=lambda e: e.stamp)
