News of a table outlives whoever told it, and a start takes the newest of its peers' tables

What callers saw: requests run by the service of an older table at single nodes.

A node that was told of a newer table and could not fetch it (its teller killed in that second) wrote a line and went on under the old one until somebody told it again. A process that started while the store did not answer it was ready with the first table that any peer had, though that one might be behind.

Mend: when the last peer that told of a newer table can't give it, the node doubts and asks the store, as it does when a member does not answer. A start asks its peers side by side and waits 0.2 s for the others after the first table; tables only replace older ones, so the newest stays.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_peers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_peers.py
@@ -22,7 +22,8 @@
         book: The table in force.
         link: The way to peers.
         accept: Takes a table, and whence it came.
-        on_useless: Called when a peer's table can't be taken.
+        on_lost: Called when a newer table was told of, and can't be had from
+            whoever told of it.
     """
 
     def __init__(
@@ -30,12 +31,12 @@
         book: routes.RouteBook,
         link: peer_link.PeerLink,
         accept: Callable[[routes.RouteTable, str], None],
-        on_useless: Callable[[], None],
+        on_lost: Callable[[], None],
     ):
         self._book = book
         self._link = link
         self._accept = accept
-        self._on_useless = on_useless
+        self._on_lost = on_lost
         self._task: asyncio.Task[None] | None = None
         self._next: _Heard | None = None
 
@@ -76,7 +77,6 @@
             _LOG.warning(
                 "a peer's routes are no use", extra={"why": str(error)}
             )
-            self._on_useless()
 
     async def _fetch_newest(self, first: "_Heard", wait_s: float) -> None:
         """Fetches until nothing newer was heard of meanwhile."""
@@ -86,7 +86,10 @@
         while heard is not None:
             if heard.version > self._book.version:
                 await self.fetch_now(heard.address)
-            heard, self._next = self._next, None
+            told, heard, self._next = heard, self._next, None
+            if heard is None and told.version > self._book.version:
+                # Whoever told of it may be gone, and with it the news.
+                self._on_lost()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -46,6 +46,8 @@
 ROUTES = route_peers.ROUTES
 # Time for the own watch to bring what a peer knows already.
 _OWN_WATCH_FIRST_S = 0.3
+# Two ways to and fro between regions, and some work there.
+_OTHER_PEERS_S = 0.2
 # Nodes that start together learn of each other in this time; before, each takes
 # itself for one that is to watch.
 _SETTLE_S = 0.3
@@ -157,7 +159,7 @@
         self._duty.set()
 
     def doubt(self) -> None:
-        """Notes that a peer was not reached: news may not reach this node."""
+        """Notes that news may not reach this node: a peer was not reached."""
         self._doubts_until_s = time.monotonic() + _DOUBT_S
         self._duty.set()
 
@@ -309,12 +311,26 @@
         self._peers.fetch(address, version, self._own_watch_first_s())
 
     async def ask_peers(self, addresses: list[str]) -> bool:
-        """Asks peers one after the other until one knows a table."""
-        for address in addresses:
-            await self._peers.fetch_now(address)
-            if self._book.table is not None:
-                return True
-        return False
+        """Takes the newest table of some peers; returns whether there is one.
+
+        The first to answer may itself be behind, so the others are waited for
+        a moment longer.
+        """
+        asking = {
+            asyncio.create_task(self._peers.fetch_now(address))
+            for address in addresses
+        }
+        try:
+            while asking and self._book.table is None:
+                _, asking = await asyncio.wait(
+                    asking, return_when=asyncio.FIRST_COMPLETED
+                )
+            if asking:
+                await asyncio.wait(asking, timeout=_OTHER_PEERS_S)
+        finally:
+            for task in asking:
+                task.cancel()
+        return self._book.table is not None
 
     def _fetch_what_was_heard(self) -> None:
         """Asks who knows a newer table than the store, which may be older."""
