A deep bucket that hardly fills is not spent twice when it runs dry

Cause: each node admits up to a part of half the bucket before its report is answered, and the keeper says "scarce" only when less than a second's rate is left: a hundredth of a request here. What nodes had admitted unasked by then was dealt once more.

Mend: unasked, all nodes together admit no more than comes in within two reports (each at least one); scarce begins no lower than that; and until all who report have heard of it, what they may still admit is held back from grants, a tenth of the bucket at most.

--- a/packages/burdockfront/src/burdockfront/quota_keeper.py
+++ b/packages/burdockfront/src/burdockfront/quota_keeper.py
@@ -8,14 +8,17 @@
 # for this long.
 _REPORTS_FOR_S = 1.0
 # Below so much its account needs tokens, above the second no longer: of a
-# bucket, or what comes in so many seconds, whichever is less. What nodes admit
-# unasked before they hear of it is taken from that.
+# bucket, or what comes in so many seconds, whichever is less; but not less than
+# what all nodes may admit unasked before they hear of it.
 _SCARCE_BELOW = 0.5
 _SCARCE_BELOW_S = 1.0
 _AMPLE_ABOVE = 0.75
 _AMPLE_ABOVE_S = 1.5
 # How often those are counted who report.
 _COUNT_EVERY_S = 0.1
+# So much of a bucket at most is held back for what nodes admit unasked that
+# have not heard yet that the account is scarce.
+_HELD_BACK = 0.1
 # What comes in so many seconds, and so many requests at least, is kept for each
 # rank that matters more, up to so many ranks. Little is enough: requests that
 # matter more and ask for all that comes in keep the level below it.
@@ -31,6 +34,7 @@
 class _Bucket:
     level: float
     at_s: float
+    scarce_since_s: float
     # The share of what may be dealt blindly that is in the level already.
     begun: float = 0.0
 
@@ -50,6 +54,7 @@
         self._counted_at_s = float("-inf")
         self._share = 1.0
         self._began_s = 0.0
+        self._reported_nodes = 1
         self._reported_at_s = float("-inf")
 
     @property
@@ -79,6 +84,7 @@
             now_s: Monotonic time.
         """
         self._begin_term(now_s)
+        self._reported_nodes = max(1, nodes)
         self._count(report.node_id, nodes, now_s)
         for spent in report.spent:
             bucket = self._bucket(spent.account, now_s)
@@ -86,7 +92,9 @@
                 bucket.level -= spent.count
         # What matters most first, whatever the order of the questions.
         wanted = sorted(report.wanted, key=lambda asked: asked.rank)
-        granted = tuple(self._grant(asked, now_s) for asked in wanted)
+        granted = tuple(
+            self._grant(asked, report.node_id, now_s) for asked in wanted
+        )
         for account in list(self._scarce):
             self._bucket(account, now_s)
         return quotas.Dealt(granted, frozenset(self._scarce))
@@ -134,7 +142,7 @@
             return None
         bucket = self._buckets.get(account)
         if bucket is None:
-            bucket = self._buckets[account] = _Bucket(0.0, self._began_s)
+            bucket = self._buckets[account] = _Bucket(0.0, self._began_s, now_s)
             self._scarce.add(account)
             if self._limits.is_new(account, now_s):
                 # Nothing was spent of it before.
@@ -147,26 +155,59 @@
         bucket.level = min(depth, bucket.level + gained)
         bucket.at_s = now_s
         rate = limit.rate_per_s * self._share
-        if bucket.level < min(_SCARCE_BELOW * depth, _SCARCE_BELOW_S * rate):
+        blind = self._reported_nodes * quotas.may_spend_unreported(
+            limit, self._reported_nodes
+        )
+        scarce_below = max(_SCARCE_BELOW_S * rate, blind)
+        ample_above = max(_AMPLE_ABOVE_S * rate, blind + 1)
+        if bucket.level < min(_SCARCE_BELOW * depth, scarce_below):
+            if account not in self._scarce:
+                bucket.scarce_since_s = now_s
             self._scarce.add(account)
-        elif bucket.level > min(_AMPLE_ABOVE * depth, _AMPLE_ABOVE_S * rate):
+        elif bucket.level > min(_AMPLE_ABOVE * depth, ample_above):
             self._scarce.discard(account)
         return bucket
 
-    def _grant(self, asked: quotas.Wanted, now_s: float) -> quotas.Granted:
+    def _grant(
+        self, asked: quotas.Wanted, node_id: str, now_s: float
+    ) -> quotas.Granted:
         bucket = self._bucket(asked.account, now_s)
         limit = self._limits.limit_of(asked.account)
         if bucket is None or limit is None:
             return quotas.Granted(asked.account, asked.rank, asked.count, 0.0)
         reserve = _reserve_of(asked.rank, limit) * self._share
-        free = max(0, int(bucket.level - reserve))
+        held_back = self._held_back(asked.account, bucket, limit, node_id)
+        free = max(0, int(bucket.level - reserve - held_back))
         count = min(asked.count, free)
         bucket.level -= count
-        missing = 1.0 + reserve - bucket.level
+        missing = 1.0 + reserve + held_back - bucket.level
         rate = max(_LEAST_SHARE, limit.rate_per_s * self._share)
         wait_s = max(0.0, missing / rate)
         return quotas.Granted(asked.account, asked.rank, count, wait_s)
 
+    def _held_back(
+        self, account: str, bucket: _Bucket, limit: quotas.Limit, node_id: str
+    ) -> float:
+        """Returns what nodes may have admitted that is not reported yet.
+
+        Args:
+            account: Whose tokens are asked for.
+            bucket: Its tokens.
+            limit: Its limit.
+            node_id: Who asks, and has just reported.
+        """
+        since_s = float("inf")
+        if account in self._scarce:
+            since_s = bucket.scarce_since_s
+        if bucket.at_s - since_s > _REPORTS_FOR_S:
+            return 0.0
+        unaware = sum(
+            at_s < since_s and name != node_id
+            for name, at_s in self._heard_at_s.items()
+        )
+        each = quotas.may_spend_unreported(limit, self._reported_nodes)
+        return min(unaware * each, limit.depth * _HELD_BACK)
+
 
 def _reserve_of(rank: int, limit: quotas.Limit) -> float:
     each = max(_LEAST_RESERVE, limit.rate_per_s * _RESERVE_S)
--- a/packages/burdockfront/src/burdockfront/quotas.py
+++ b/packages/burdockfront/src/burdockfront/quotas.py
@@ -19,6 +19,9 @@
 import dataclasses
 from typing import Protocol
 
+# Nodes report twice a second.
+_TWO_REPORTS_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
@@ -120,7 +123,8 @@
 def may_spend_unreported(limit: Limit, nodes: int) -> int:
     """Returns how much a node may admit before its report is answered.
 
-    All nodes together no more than half of what the bucket holds, where that
-    allows each of them one.
+    All nodes together no more than half of what the bucket holds, nor than
+    comes in within the time of two reports, where that allows each of them one.
     """
-    return max(1, int(limit.depth / 2 / max(1, nodes)))
+    blind = min(limit.depth / 2, limit.rate_per_s * _TWO_REPORTS_S)
+    return max(1, int(blind / max(1, nodes)))
