--- a/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/exchange_model.py
@@ -26,6 +26,7 @@
 from burdockfront_node import settings as settings_lib
 from burdockfront_node.controllers import directory as directory_lib
 from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import other_nodes
 from burdockfront_node.controllers import peer_link
 from burdockfront_node.controllers import (
     quarantine_keeper as quarantine_keeper_lib,
@@ -127,7 +128,7 @@
             link,
             recorder,
             self._store_returned,
-            route_watch_lib.OtherNodes(self.exchange),
+            other_nodes.OtherNodes(self.exchange),
             rng,
         )
         self._joining = route_joining_lib.RouteJoining(
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/other_nodes.py
@@ -0,0 +1,37 @@
+"""The other nodes, as whoever watches the store for them sees them."""
+
+from typing import Protocol
+
+from burdockfront_node.controllers import exchange as exchange_lib
+
+
+class Others(Protocol):
+    """Whom a watch tells of what it learns."""
+
+    def tell_routes(self) -> None:
+        """Tells them which version is in force here."""
+
+    def tell_store_away(self, away: bool) -> None:
+        """Tells them whether the store answers this node."""
+
+    def count(self) -> int:
+        """Returns how many nodes are known."""
+
+
+class OtherNodes:
+    """Tells the other nodes by the exchange."""
+
+    def __init__(self, exchange: exchange_lib.Exchange):
+        self._exchange = exchange
+
+    def tell_routes(self) -> None:
+        """Tells them which version is in force here."""
+        self._exchange.tell_routes()
+
+    def tell_store_away(self, away: bool) -> None:
+        """Tells them whether the store answers this node."""
+        self._exchange.update_me(store_away=away)
+
+    def count(self) -> int:
+        """Returns how many nodes are known."""
+        return len(self._exchange.membership.usable())
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/route_watch.py
@@ -28,15 +28,15 @@
 import time
 from collections.abc import Callable
 from typing import Any
-from typing import Protocol
 
 from burdockfront import errors
 from burdockfront import freshness
 from burdockfront import routes
 from burdockfront import timeline
-from burdockfront_node.controllers import exchange as exchange_lib
+from burdockfront_node.controllers import other_nodes
 from burdockfront_node.controllers import peer_link
 from burdockfront_node.controllers import route_freshness
+from burdockfront_node.controllers import route_intake
 from burdockfront_node.controllers import route_peers
 from burdockfront_node.controllers import store as store_lib
 from burdockfront_node.controllers import store_watch
@@ -59,40 +59,6 @@
 # A waiting watch covers this and more, so a doubt costs a read and a watch.
 _DOUBT_S = 3.0
 
-ReadTable = Callable[[store_lib.Item], routes.RouteTable | None]
-
-
-class Others(Protocol):
-    """The other nodes, as a watch sees them."""
-
-    def tell_routes(self) -> None:
-        """Tells them which version is in force here."""
-
-    def tell_store_away(self, away: bool) -> None:
-        """Tells them whether the store answers this node."""
-
-    def count(self) -> int:
-        """Returns how many nodes are known."""
-
-
-class OtherNodes:
-    """Tells the other nodes by the exchange."""
-
-    def __init__(self, exchange: exchange_lib.Exchange):
-        self._exchange = exchange
-
-    def tell_routes(self) -> None:
-        """Tells them which version is in force here."""
-        self._exchange.tell_routes()
-
-    def tell_store_away(self, away: bool) -> None:
-        """Tells them whether the store answers this node."""
-        self._exchange.update_me(store_away=away)
-
-    def count(self) -> int:
-        """Returns how many nodes are known."""
-        return len(self._exchange.membership.usable())
-
 
 class RouteWatch:
     """Keeps the table in force up to date.
@@ -116,18 +82,17 @@
         self,
         store: store_lib.StoreClient,
         prefix: str,
-        read_table: ReadTable,
+        read_table: route_intake.ReadTable,
         book: routes.RouteBook,
         link: peer_link.PeerLink,
         recorder: timeline.Recorder,
         on_return: Callable[[], None],
-        others: Others,
+        others: other_nodes.Others,
         rng: random.Random,
     ):
         self._others = others
         self._store = store
         self._prefix = prefix
-        self._read_table = read_table
         self._book = book
         self._recorder = recorder
         self._on_return = on_return
@@ -138,10 +103,12 @@
         self._watch = store_watch.StoreWatch(
             store, prefix, self._confirm, self._on_duty
         )
-        self._known = asyncio.Event()
         self._heard: tuple[str, int] | None = None
+        self._intake = route_intake.RouteIntake(
+            read_table, book, recorder, others.tell_routes
+        )
         self._peers = route_peers.RoutePeers(
-            book, link, self._accept, self.doubt
+            book, link, self._intake.accept, self.doubt
         )
         self._chosen = False
         self._has_read = False
@@ -192,11 +159,7 @@
 
     async def wait_for_routes(self, longest_s: float) -> None:
         """Waits until a table is in force, or for so long."""
-        try:
-            async with asyncio.timeout(longest_s):
-                await self._known.wait()
-        except TimeoutError:
-            return
+        await self._intake.wait_for_first(longest_s)
 
     async def read(self) -> bool:
         """Reads the table anew; returns whether the store answered.
@@ -214,7 +177,7 @@
         self._has_read = True
         self._reads_anew = False
         for item in page.items:
-            self._take(item)
+            self._intake.take(item)
         # Not the highest so far: a store that came back older counts anew.
         self._after = page.revision
         self._confirm(asked_s)
@@ -265,7 +228,7 @@
             _LOG.info("the store was asked in vain", extra={"why": str(error)})
             return
         for item in page.items:
-            self._take(item)
+            self._intake.take(item)
         self._confirm(asked_s)
 
     def _on_duty(self) -> bool:
@@ -350,40 +313,10 @@
     def _take_all(self, events: store_lib.Events) -> None:
         for change in events.changes:
             if isinstance(change, store_lib.Item):
-                self._take(change)
+                self._intake.take(change)
         if not self._reads_anew:
             self._after = events.revision
 
-    def _take(self, item: store_lib.Item) -> None:
-        try:
-            table = self._read_table(item)
-        except errors.InvalidInputError as error:
-            # What is in force stays: half a table would be worse.
-            self._recorder.record(
-                time.time(),
-                "routes.rejected",
-                key=item.key,
-                revision=item.revision,
-                why=str(error),
-            )
-            return
-        if table is not None:
-            self._accept(table, "store")
-
-    def _accept(self, table: routes.RouteTable, source: str) -> None:
-        before = self._book.version
-        if not self._book.accept(table):
-            return
-        self._known.set()
-        self._others.tell_routes()
-        self._recorder.record(
-            time.time(),
-            "routes.in-force",
-            version=table.version,
-            before=before,
-            source=source,
-        )
-
     def _pause_s(self) -> float:
         """Returns how long to wait before the store is asked again."""
         return self._store.link.backoff.wait_s(time.monotonic())
--- a/tests/unit/test_changes_in_force.py
+++ b/tests/unit/test_changes_in_force.py
@@ -10,12 +10,12 @@
 
 from burdockfront_bench import exchange_model
 from burdockfront_bench import virtual_time
+from tests import fleets
 
 _IN_FORCE_S = 2.0
 _STABLE_S = 3.0
 # What no single fault explains is still found out within seconds.
 _FOUND_OUT_S = 10.0
-_START_S = 12.0
 # As long as a watch waits for a change, and more.
 _WATCH_S = 25.0
 _SIZES = pytest.mark.parametrize(
@@ -24,18 +24,6 @@
 _SEEDS = pytest.mark.parametrize("seed", [1, 2, 3])
 
 
-async def _a_settled_fleet(
-    nodes: int, places: int, seed: int
-) -> exchange_model.Fleet:
-    fleet = exchange_model.Fleet(nodes, places, seed)
-    await fleet.start_all()
-    await asyncio.sleep(_START_S)
-    fleet.change_routes(1)
-    await asyncio.sleep(2.0)
-    assert exchange_model.all_have(fleet, 1)
-    return fleet
-
-
 async def _in_force_s(fleet: exchange_model.Fleet, version: int) -> float:
     return await exchange_model.until(
         lambda: exchange_model.all_have(fleet, version), 3 * _WATCH_S
@@ -50,7 +38,7 @@
     """Guards against watches that wait for an answer that never comes."""
 
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         fleet.faults.watches_lost = 1.0
         fleet.change_routes(2)
         await asyncio.sleep(0.05)
@@ -68,7 +56,7 @@
     """Guards against an outage too short to be noticed, which took the news."""
 
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(12, 3, seed)
+        fleet = await fleets.a_settled_fleet(12, 3, seed)
         fleet.faults.store_silent.update(fleet.nodes)
         await asyncio.sleep(silent_s / 2)
         fleet.change_routes(2)
@@ -84,7 +72,7 @@
     """Guards against nodes that all rely on another one's watch."""
 
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(12, 3, seed)
+        fleet = await fleets.a_settled_fleet(12, 3, seed)
         for node in fleet.living():
             node.watch.choose(False)
             node.watch.choose = lambda chosen: None
@@ -100,7 +88,7 @@
     """Guards against an outage that is met by the questions of all nodes."""
 
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(30, 6, seed)
+        fleet = await fleets.a_settled_fleet(30, 6, seed)
         fleet.faults.store_silent.update(fleet.nodes)
         await asyncio.sleep(10.0)
         before = fleet.costs.copy()
--- a/tests/unit/test_many_nodes.py
+++ b/tests/unit/test_many_nodes.py
@@ -17,6 +17,7 @@
 from burdockfront_bench import model_store
 from burdockfront_bench import virtual_time
 from tests import builders
+from tests import fleets
 
 _IN_FORCE_S = 2.0
 # So long after a change of their surroundings nodes are bound by everything.
@@ -26,25 +27,11 @@
 _DEADLY = crashes.Suspect("deadly", "service-1")
 _CONTROL_BYTES_PER_S = 11_000
 _START_CALLS = 4
-_START_S = 12.0
 # Twelve nodes in three data centres, and thirty in six.
 _SIZES = pytest.mark.parametrize(("nodes", "places"), [(12, 3), (30, 6)])
 _SEEDS = pytest.mark.parametrize("seed", [1, 2, 3])
 
 
-async def _a_settled_fleet(
-    nodes: int, places: int, seed: int
-) -> exchange_model.Fleet:
-    fleet = exchange_model.Fleet(nodes, places, seed)
-    await fleet.start_all()
-    await asyncio.sleep(_START_S)
-    fleet.change_routes(1)
-    await asyncio.sleep(2.0)
-    assert exchange_model.all_have(fleet, 1)
-    assert exchange_model.all_know_all(fleet)
-    return fleet
-
-
 async def _in_force_s(fleet: exchange_model.Fleet, version: int) -> float:
     fleet.change_routes(version)
     return await exchange_model.until(
@@ -61,13 +48,13 @@
     async def scenario() -> model_store.Costs:
         fleet = exchange_model.Fleet(nodes, places, seed)
         await fleet.start_all()
-        await asyncio.sleep(_START_S)
+        await asyncio.sleep(fleets.START_S)
         assert exchange_model.all_know_all(fleet)
         return fleet.costs
 
     costs = virtual_time.run(scenario())
     moved_bytes = costs.near_bytes.total() + costs.far_bytes.total()
-    assert moved_bytes <= nodes * _START_S * _CONTROL_BYTES_PER_S
+    assert moved_bytes <= nodes * fleets.START_S * _CONTROL_BYTES_PER_S
     assert costs.store_calls <= _START_CALLS * nodes
 
 
@@ -75,7 +62,7 @@
 @_SEEDS
 def test_change_takes_few_calls_and_is_in_force_everywhere(nodes, places, seed):
     async def scenario() -> tuple[float, float]:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         before = fleet.costs.copy()
         took_s = await _in_force_s(fleet, 2)
         return took_s, fleet.costs.since(before).store_calls
@@ -92,7 +79,7 @@
     # The store turns a third of the nodes away for seconds, among them some of
     # those who watch for all. Operators' changes are accepted meanwhile.
     async def scenario() -> list[float]:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         names = sorted(fleet.nodes)[: nodes // 3]
         fleet.faults.store_refuses.update(names)
         took_s = [await _in_force_s(fleet, 2)]
@@ -110,7 +97,7 @@
     # and they say so; nobody else would ask the store, and a change that is
     # accepted a moment later would be in force nowhere.
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         node = next(iter(fleet.nodes.values()))
         chosen = watchers.watchers_of(node.membership)
         fleet.faults.store_refuses.update(m.node_id for m in chosen)
@@ -131,7 +118,7 @@
     # them. They are bound by a change that is made seconds later, and no peer
     # can tell them.
     async def scenario() -> list[float]:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         fleet.faults.cut.update(sorted(fleet.nodes)[: nodes // 3])
         await asyncio.sleep(2.0)
         took_s = [await _in_force_s(fleet, 2)]
@@ -150,7 +137,7 @@
     # Half of all processes are killed, perhaps all that watch; a change follows
     # three seconds later, when the members have noticed.
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         for number in range(0, nodes, 2):
             fleet.kill(number)
         await asyncio.sleep(3.0)
@@ -168,7 +155,7 @@
     # they are back none knows anything; the change was promised, and callers
     # wait.
     async def scenario() -> tuple[float, float]:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         fleet.change_routes(2)
         for number in range(nodes):
             fleet.kill(number)
@@ -192,7 +179,7 @@
 def test_change_is_in_force_although_messages_are_lost(seed):
     # Each twentieth message between nodes is lost, in both directions.
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(30, 6, seed)
+        fleet = await fleets.a_settled_fleet(30, 6, seed)
         fleet.faults.loss = 0.05
         await asyncio.sleep(3.0)
         return await _in_force_s(fleet, 2)
@@ -205,7 +192,7 @@
     # A sixth of all nodes is gone in one moment. Few probes leave a data
     # centre; the members of the lost one must not be found out one by one.
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(30, 6, seed)
+        fleet = await fleets.a_settled_fleet(30, 6, seed)
         for number in range(0, 30, 6):
             fleet.kill(number)
         return await exchange_model.until(
@@ -251,7 +238,9 @@
     nodes, places, seed
 ):
     async def scenario() -> float:
-        return await _crash_three(await _a_settled_fleet(nodes, places, seed))
+        return await _crash_three(
+            await fleets.a_settled_fleet(nodes, places, seed)
+        )
 
     assert virtual_time.run(scenario()) < _IN_FORCE_S
 
@@ -259,7 +248,7 @@
 @_SEEDS
 def test_crashes_are_known_although_messages_are_lost(seed):
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(30, 6, seed)
+        fleet = await fleets.a_settled_fleet(30, 6, seed)
         fleet.faults.loss = 0.05
         return await _crash_three(fleet)
 
@@ -274,7 +263,7 @@
     # Callers reach it, and it serves by the server beside it alone, which is
     # the next to crash.
     async def scenario() -> float:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         fleet.faults.cut.add("node-1")
         await asyncio.sleep(2.0)
         return await _crash_three(fleet)
@@ -290,7 +279,7 @@
     # The caller goes on meanwhile. With the memory of all nodes gone it would
     # crash three more servers.
     async def scenario() -> bool:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         await _crash_three(fleet)
         await asyncio.sleep(1.0)
         for number in range(nodes):
@@ -308,7 +297,7 @@
 @_SEEDS
 def test_node_that_starts_hears_of_crashes_before_it_takes_requests(seed):
     async def scenario() -> bool:
-        fleet = await _a_settled_fleet(30, 6, seed)
+        fleet = await fleets.a_settled_fleet(30, 6, seed)
         await _crash_three(fleet)
         fleet.kill(7)
         await asyncio.sleep(1.0)
@@ -329,7 +318,7 @@
     # is answered. With each acquittal told to the whole service at once, a
     # single crash moved 100 to 140 KB a node.
     async def scenario() -> int:
-        fleet = await _a_settled_fleet(nodes, places, seed)
+        fleet = await fleets.a_settled_fleet(nodes, places, seed)
         await asyncio.sleep(5.0)
         before = fleet.costs.copy()
         suspects = [crashes.Suspect(f"{n:016x}", "fees") for n in range(45)]
@@ -354,7 +343,7 @@
 
 def test_same_seed_plays_the_same():
     async def scenario() -> model_store.Costs:
-        fleet = await _a_settled_fleet(12, 3, 7)
+        fleet = await fleets.a_settled_fleet(12, 3, 7)
         return fleet.costs
 
     assert virtual_time.run(scenario()) == virtual_time.run(scenario())
