--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -0,0 +1,146 @@
+"""Hands attempts to the backend server, and learns from how they end."""
+
+import time
+from collections.abc import Callable
+
+from burdockfront import admission
+from burdockfront import outcomes
+from burdockfront import policy as policy_lib
+from burdockfront import timeline
+from burdockfront_client import calls
+from burdockfront_node import availability as availability_lib
+from burdockfront_node import gate as gate_lib
+from burdockfront_node import handover as handover_lib
+from burdockfront_node import lineage as lineage_lib
+from burdockfront_node import quarantine as quarantine_lib
+
+
+class BackendRuns:
+    """Runs attempts that hold a slot.
+
+    Args:
+        handover: The way to the backend server.
+        availability: Hears whether it still answers.
+        quarantine: Hears which requests are at it.
+        lineage: Learns what no context says; None where contexts travel.
+        policy_of: Returns the policy in force of a service.
+        recorder: Where events go.
+        refusals_lower_slots: See `availability.GuardRules`.
+    """
+
+    def __init__(
+        self,
+        handover: handover_lib.Handover,
+        availability: availability_lib.Availability,
+        quarantine: quarantine_lib.Quarantine,
+        lineage: lineage_lib.Lineage | None,
+        policy_of: Callable[[str], policy_lib.Policy],
+        recorder: timeline.Recorder,
+        refusals_lower_slots: bool,
+    ):
+        self._handover = handover
+        self._availability = availability
+        self._quarantine = quarantine
+        self._lineage = lineage
+        self._policy_of = policy_of
+        self._recorder = recorder
+        self._refusals_lower_slots = refusals_lower_slots
+
+    async def run(
+        self, gate: gate_lib.Gate, attempt: calls.Attempt, nonce: str | None
+    ) -> outcomes.Answer:
+        """Hands an attempt over, and gives its slot back afterwards.
+
+        Args:
+            gate: Gave the slot.
+            attempt: What to run.
+            nonce: Idempotency key of what must not repeat.
+        """
+        started_s = time.monotonic()
+        self._note_begin(attempt, started_s)
+        answer: outcomes.Answer | None = None
+        try:
+            answer = await self._to_backend(attempt, nonce)
+        finally:
+            service_s = time.monotonic() - started_s
+            self._note_end(gate, answer, service_s)
+            self._quarantine.ended(attempt, answer)
+            served = answer is not None and answer.reason is None
+            class_name = attempt.context.class_name if served else ""
+            gate.leave(service_s, class_name)
+            if self._lineage is not None:
+                self._lineage.run_left(attempt)
+        if self._lineage is not None:
+            answer = self._lineage.run_ended(attempt, started_s, answer)
+        if answer.reason is outcomes.Reason.LOST_ANSWER:
+            await self._quarantine.watch.lost(attempt)
+        record(
+            self._recorder,
+            "call.answered",
+            attempt,
+            outcome=answer.outcome,
+            status=answer.status,
+            reason=answer.reason or "",
+            starved=answer.starved,
+            service_s=round(service_s, 4),
+        )
+        return answer
+
+    def _note_begin(self, attempt: calls.Attempt, started_s: float) -> None:
+        self._recorder.note(
+            time.time(),
+            "call.handed-over",
+            attempt.context.request_id,
+            attempt=attempt.context.attempt_id,
+            service=attempt.call.service,
+        )
+        self._availability.stalls.handed(started_s)
+        announced = self._availability.announcement
+        address = announced.address if announced else ""
+        self._quarantine.watch.began(attempt, address, started_s)
+        if self._lineage is not None:
+            self._lineage.run_began(attempt)
+
+    async def _to_backend(
+        self, attempt: calls.Attempt, nonce: str | None
+    ) -> outcomes.Answer:
+        announced = self._availability.announcement
+        if announced is None:
+            return outcomes.not_run(
+                outcomes.Reason.NO_BACKEND, admission.RETRY_AFTER_S
+            )
+        limit_bytes = self._policy_of(announced.service).body_limit_bytes
+        return await self._handover.run(announced, attempt, nonce, limit_bytes)
+
+    def _note_end(
+        self,
+        gate: gate_lib.Gate,
+        answer: outcomes.Answer | None,
+        service_s: float,
+    ) -> None:
+        """Learns from how a hand-over ended, while its slot is still held."""
+        if answer is None or answer.outcome is outcomes.Outcome.UNKNOWN:
+            self._availability.stalls.gave_up()
+            return
+        self._availability.stalls.answered(service_s, time.monotonic())
+        refused = answer.reason is outcomes.Reason.REJECTED
+        if refused and self._refusals_lower_slots:
+            gate.shed_by_backend()
+
+
+def record(
+    recorder: timeline.Recorder,
+    kind: str,
+    attempt: calls.Attempt,
+    **detail: object,
+) -> None:
+    """Records an event about an attempt."""
+    recorder.record(
+        time.time(),
+        kind,
+        attempt.context.request_id,
+        attempt=attempt.context.attempt_id,
+        service=attempt.call.service,
+        class_name=attempt.context.class_name,
+        **detail,
+    )
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -24,6 +24,7 @@
 from burdockfront_client import peers as peers_lib
 from burdockfront_node import availability as availability_lib
 from burdockfront_node import backend as backend_lib
+from burdockfront_node import backend_runs
 from burdockfront_node import gate as gate_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import lineage as lineage_lib
@@ -90,8 +91,17 @@
         self.tickets = ticket_runs.TicketRuns(ledger, steps, wall_s)
         self._counters = GuardCounters()
         self._dispatcher = dispatcher
-        self._handover = handover or handover_lib.PlainHandover(
-            peers_lib.Peers(), dispatcher.sender.keys, attempts
+        self._runs = backend_runs.BackendRuns(
+            handover
+            or handover_lib.PlainHandover(
+                peers_lib.Peers(), dispatcher.sender.keys, attempts
+            ),
+            self._availability,
+            self._quarantine,
+            lineage,
+            policy_of,
+            recorder,
+            self._rules.refusals_lower_slots,
         )
         self._policy_of = policy_of
         self._recorder = recorder
@@ -309,69 +319,8 @@
     ) -> outcomes.Answer:
         """Hands an attempt over, and gives its slot back afterwards."""
         assert self._gate is not None
-        gate = self._gate
-        started_s = time.monotonic()
         self._counters.handed_over += 1
-        self._recorder.note(
-            time.time(),
-            "call.handed-over",
-            attempt.context.request_id,
-            attempt=attempt.context.attempt_id,
-            service=attempt.call.service,
-        )
-        self._availability.stalls.handed(started_s)
-        address = self.announcement.address if self.announcement else ""
-        self._quarantine.watch.began(attempt, address, started_s)
-        if self._lineage is not None:
-            self._lineage.run_began(attempt)
-        answer: outcomes.Answer | None = None
-        try:
-            answer = await self._to_backend(attempt, nonce)
-        finally:
-            service_s = time.monotonic() - started_s
-            self._note_end(answer, service_s)
-            self._quarantine.ended(attempt, answer)
-            served = answer is not None and answer.reason is None
-            class_name = attempt.context.class_name if served else ""
-            gate.leave(service_s, class_name)
-            if self._lineage is not None:
-                self._lineage.run_left(attempt)
-        if self._lineage is not None:
-            answer = self._lineage.run_ended(attempt, started_s, answer)
-        if answer.reason is outcomes.Reason.LOST_ANSWER:
-            await self._quarantine.watch.lost(attempt)
-        self._record(
-            "call.answered",
-            attempt,
-            outcome=answer.outcome,
-            status=answer.status,
-            reason=answer.reason or "",
-            starved=answer.starved,
-            service_s=round(service_s, 4),
-        )
-        return answer
-
-    async def _to_backend(
-        self, attempt: calls.Attempt, nonce: str | None
-    ) -> outcomes.Answer:
-        announced = self.announcement
-        if announced is None:
-            return _not_run(outcomes.Reason.NO_BACKEND)
-        limit_bytes = self._policy_of(announced.service).body_limit_bytes
-        return await self._handover.run(announced, attempt, nonce, limit_bytes)
-
-    def _note_end(
-        self, answer: outcomes.Answer | None, service_s: float
-    ) -> None:
-        """Learns from how a hand-over ended, while its slot is still held."""
-        assert self._gate is not None
-        if answer is None or answer.outcome is outcomes.Outcome.UNKNOWN:
-            self._availability.stalls.gave_up()
-            return
-        self._availability.stalls.answered(service_s, time.monotonic())
-        refused = answer.reason is outcomes.Reason.REJECTED
-        if refused and self._rules.refusals_lower_slots:
-            self._gate.shed_by_backend()
+        return await self._runs.run(self._gate, attempt, nonce)
 
     def _refused(
         self,
@@ -381,7 +330,8 @@
     ) -> outcomes.Answer:
         self._counters.refused += 1
         context = attempt.context
-        self._record(
+        backend_runs.record(
+            self._recorder,
             "call.refused",
             attempt,
             reason=refusal.reason or "",
@@ -430,19 +380,6 @@
         level = min(self.level(), path_level)
         return level if answer.level is None else min(level, answer.level)
 
-    def _record(
-        self, kind: str, attempt: calls.Attempt, **detail: object
-    ) -> None:
-        self._recorder.record(
-            time.time(),
-            kind,
-            attempt.context.request_id,
-            attempt=attempt.context.attempt_id,
-            service=attempt.call.service,
-            class_name=attempt.context.class_name,
-            **detail,
-        )
-
 
 def _not_run(reason: outcomes.Reason) -> outcomes.Answer:
     return outcomes.not_run(reason, admission.RETRY_AFTER_S)
