Nodes say what a backend server names on its answers

No module read either header (grep for both on: none), so no line or metric could tell whether a limit was unknown, kept in the wrong place, or passed by. Lines backend.limit, backend.limit-unreadable, backend.says-it-leaves; metrics guard.limit_per_s and guard.says_it_leaves. Nothing acts on it yet.

--- a/packages/burdockfront-node/src/burdockfront_node/backend.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend.py
@@ -15,6 +15,7 @@
 import pydantic
 
 from burdockfront import errors
+from burdockfront import incarnations
 from burdockfront import policy
 
 SILENT_AFTER_S = 3.0
@@ -44,6 +45,7 @@
         state: `ready`, `cold` or `draining`.
         load: Its own report, shown to operators only.
         embedded: It routes its deeper calls itself, with the library.
+        start: Which start of it this is, as far as it tells.
     """
 
     service: str
@@ -52,6 +54,7 @@
     state: str
     load: float
     embedded: bool
+    start: incarnations.Start = incarnations.NAMELESS
 
     @property
     def draining(self) -> bool:
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -9,6 +9,7 @@
 from burdockfront import timeline
 from burdockfront_client import calls
 from burdockfront_node import availability as availability_lib
+from burdockfront_node import backend_beliefs
 from burdockfront_node import gate as gate_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import lineage as lineage_lib
@@ -25,6 +26,7 @@
         lineage: Learns what no context says; None where contexts travel.
         policy_of: Returns the policy in force of a service.
         recorder: Where events go.
+        beliefs: Learns what the server says of itself.
         refusals_lower_slots: See `availability.GuardRules`.
     """
 
@@ -36,6 +38,7 @@
         lineage: lineage_lib.Lineage | None,
         policy_of: Callable[[str], policy_lib.Policy],
         recorder: timeline.Recorder,
+        beliefs: backend_beliefs.BackendBeliefs,
         refusals_lower_slots: bool,
     ):
         self._handover = handover
@@ -44,6 +47,7 @@
         self._lineage = lineage
         self._policy_of = policy_of
         self._recorder = recorder
+        self._beliefs = beliefs
         self._refusals_lower_slots = refusals_lower_slots
 
     async def run(
@@ -110,7 +114,12 @@
                 outcomes.Reason.NO_BACKEND, admission.RETRY_AFTER_S
             )
         limit_bytes = self._policy_of(announced.service).body_limit_bytes
-        return await self._handover.run(announced, attempt, nonce, limit_bytes)
+        answer = await self._handover.run(
+            announced, attempt, nonce, limit_bytes
+        )
+        if answer.said is not None:
+            self._beliefs.answered(answer.said, announced.start)
+        return answer
 
     def _note_end(
         self,
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
@@ -102,6 +102,7 @@
                 state="draining" if current.leaving else "ready",
                 load=0.0,
                 embedded=False,
+                start=incarnations_lib.start_of(current),
             )
         )
 
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -21,6 +21,8 @@
 _KIB = 1024
 # For an age that is not known.
 _NEVER_S = -1.0
+# Of a backend server that names no limit.
+_NO_LIMIT = -1.0
 
 
 class Metrics:
@@ -72,9 +74,15 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         crashes = self._exchange.crash_news.book
         claim = self._exchange.routes()
+        report = self._guard.beliefs.report
+        limit_per_s = report.limit_per_s
+        if limit_per_s is None:
+            limit_per_s = _NO_LIMIT
         return {
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
+            "guard.limit_per_s": limit_per_s,
+            "guard.says_it_leaves": int(report.leaving),
             "guard.load": round(self._guard.load(), 3),
             "guard.slots": self._guard.slots,
             "guard.slots_claimed": self._guard.slots_claimed,
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -24,6 +24,7 @@
 from burdockfront_client import peers as peers_lib
 from burdockfront_node import availability as availability_lib
 from burdockfront_node import backend as backend_lib
+from burdockfront_node import backend_beliefs
 from burdockfront_node import backend_runs
 from burdockfront_node import gate as gate_lib
 from burdockfront_node import handover as handover_lib
@@ -91,6 +92,7 @@
         self.tickets = ticket_runs.TicketRuns(ledger, steps, wall_s)
         self._counters = GuardCounters()
         self._dispatcher = dispatcher
+        self.beliefs = backend_beliefs.BackendBeliefs(recorder)
         self._runs = backend_runs.BackendRuns(
             handover
             or handover_lib.PlainHandover(
@@ -101,6 +103,7 @@
             lineage,
             policy_of,
             recorder,
+            self.beliefs,
             self._rules.refusals_lower_slots,
         )
         self._policy_of = policy_of
@@ -160,6 +163,7 @@
     def announce(self, announcement: backend_lib.Announcement) -> None:
         """Takes an announcement of the backend server."""
         before = self.announcement
+        self.beliefs.in_service(announcement.start)
         self._availability.announce(announcement)
         if self._gate is None:
             self._gate = gate_lib.Gate(announcement, self._policy_of)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -147,9 +147,11 @@
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         match self._dialect.word_of(answer):
             case surroundings.BackendWord.REJECTED:
-                return outcomes.not_run(
+                refusal = outcomes.not_run(
                     outcomes.Reason.REJECTED, admission.RETRY_AFTER_S
                 )
+                refusal.said = self._dialect.said_by(answer)
+                return refusal
             case surroundings.BackendWord.OTHER_INCARNATION:
                 # The address has a new owner, which ran nothing. Until its
                 # own heartbeat comes, nothing is known of it.
@@ -162,4 +164,5 @@
             answer.status,
             headers=self._sent_on(answer.headers),
             body=answer.body,
+            said=self._dialect.said_by(answer),
         )
--- a/packages/burdockfront-node/src/burdockfront_node/surroundings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/surroundings.py
@@ -18,6 +18,7 @@
 from burdockfront import outcomes
 from burdockfront import registry
 from burdockfront import routes
+from burdockfront import self_reports
 from burdockfront_client import connection
 from burdockfront_node.controllers import store
 
@@ -124,6 +125,9 @@
     def word_of(self, answer: connection.RawAnswer) -> BackendWord:
         """Returns what an answer means."""
 
+    def said_by(self, answer: connection.RawAnswer) -> self_reports.Said:
+        """Returns what a backend server says of itself on an answer."""
+
     def health_of(self, answer: connection.RawAnswer) -> Health | None:
         """Reads an answer to a question for health; None if not healthy."""
 
--- a/packages/burdockfront/src/burdockfront/incarnations.py
+++ b/packages/burdockfront/src/burdockfront/incarnations.py
@@ -53,11 +53,29 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Start:
-    """Names an incarnation."""
+class Start:
+    """Names an incarnation.
+
+    Attributes:
+        instance_id: Id of the backend server; a later start may have it too.
+        born_ms: Unix milliseconds of its start; None if it did not say.
+    """
 
     instance_id: str
-    born_ms: int | None
+    born_ms: int | None = None
+
+    def may_be(self, other: "Start") -> bool:
+        """Whether both may name the same start, as far as they tell."""
+        if self.instance_id != other.instance_id:
+            return False
+        return self.born_ms == other.born_ms or None in (
+            self.born_ms,
+            other.born_ms,
+        )
+
+
+# Of a backend server that does not tell one start from another.
+NAMELESS = Start("")
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,7 +89,7 @@
     """The incarnations that one node has heard of."""
 
     def __init__(self) -> None:
-        self._known: collections.OrderedDict[_Start, _Known] = (
+        self._known: collections.OrderedDict[Start, _Known] = (
             collections.OrderedDict()
         )
         self._current: Heartbeat | None = None
@@ -87,7 +105,7 @@
         Returns:
             Whether it is from the incarnation in service now.
         """
-        start = _start_of(beat)
+        start = start_of(beat)
         known = self._find(start)
         if known is not None and beat.sequence <= known.sequence:
             return False
@@ -99,7 +117,7 @@
         if known.leaving:
             beat = dataclasses.replace(beat, leaving=True)
         current = self._current
-        same = current is not None and _start_of(current) == start
+        same = current is not None and start_of(current) == start
         if current is None or same:
             if known.leaving and not same:
                 return False
@@ -119,7 +137,7 @@
         """
         current = self._current
         if current is not None and current.instance_id == instance_id:
-            known = self._find(_start_of(current))
+            known = self._find(start_of(current))
             if known is not None:
                 known.leaving = True
             self._current = dataclasses.replace(current, leaving=True)
@@ -127,7 +145,7 @@
         latest = self._latest(instance_id)
         if latest is None:
             # The end overtook the first heartbeat, whose start it is about.
-            latest = self._known[_Start(instance_id, None)] = _Known(0)
+            latest = self._known[Start(instance_id, None)] = _Known(0)
             self._trim()
         latest.leaving = True
         return False
@@ -137,11 +155,11 @@
         current = self._current
         if current is not None and current.instance_id == instance_id:
             self._current = None
-            known = self._find(_start_of(current))
+            known = self._find(start_of(current))
             if known is not None:
                 known.fresh = 0
 
-    def _find(self, start: _Start) -> _Known | None:
+    def _find(self, start: Start) -> _Known | None:
         """Returns what is known of a start.
 
         What was heard without a time of birth, of a health check or an end,
@@ -150,13 +168,13 @@
         known = self._known.get(start)
         if known is not None or start.born_ms is None:
             return known
-        unborn = _Start(start.instance_id, None)
+        unborn = Start(start.instance_id, None)
         known = self._known.pop(unborn, None)
         if known is None:
             return None
         self._known[start] = known
         current = self._current
-        if current is not None and _start_of(current) == unborn:
+        if current is not None and start_of(current) == unborn:
             self._current = dataclasses.replace(current, born_ms=start.born_ms)
         return known
 
@@ -166,11 +184,11 @@
                 return self._known[start]
         return None
 
-    def _remember(self, start: _Start, beat: Heartbeat) -> _Known:
+    def _remember(self, start: Start, beat: Heartbeat) -> _Known:
         # One that was never heard of is a new start: it counts at once.
         fresh = _FRESH_TO_RETURN - 1
         current = self._current
-        if current is not None and _is_earlier(start, _start_of(current)):
+        if current is not None and _is_earlier(start, start_of(current)):
             fresh = 0
         known = _Known(beat.sequence - 1, fresh=fresh)
         self._known[start] = known
@@ -195,18 +213,19 @@
         if known.leaving or known.fresh < _FRESH_TO_RETURN:
             return False
         assert self._current is not None
-        replaced = self._known.get(_start_of(self._current))
+        replaced = self._known.get(start_of(self._current))
         if replaced is not None:
             replaced.fresh = 0
         self._current = beat
         return True
 
 
-def _start_of(beat: Heartbeat) -> _Start:
-    return _Start(beat.instance_id, beat.born_ms)
+def start_of(beat: Heartbeat) -> Start:
+    """Returns which start a heartbeat is of."""
+    return Start(beat.instance_id, beat.born_ms)
 
 
-def _is_earlier(start: _Start, other: _Start) -> bool:
+def _is_earlier(start: Start, other: Start) -> bool:
     """Whether a start says that it was born before another one."""
     if start.born_ms is None or other.born_ms is None:
         return False
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -12,6 +12,8 @@
 import dataclasses
 import enum
 
+from burdockfront import self_reports
+
 
 class Outcome(enum.StrEnum):
     """The three outcomes, as in the `Burdockfront-Outcome` header."""
@@ -80,6 +82,8 @@
         inner: The guard takes it for a call of a backend server.
         far_kb: Kilobytes between data centres that requests of this class
             cost below the guard that answered, on average.
+        said: What the backend server says of itself on it; None if it is not
+            its answer.
     """
 
     outcome: Outcome
@@ -97,6 +101,7 @@
     starved: bool = False
     inner: bool = False
     far_kb: float = 0.0
+    said: self_reports.Said | None = None
 
 
 _STATUS_OF_REASON = {
