--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from burdockfront import admission as admission_lib
+from burdockfront import admission_queue
 from burdockfront import context as context_lib
 from burdockfront import levels
 from burdockfront import limits
@@ -163,7 +164,7 @@
         if has_slot and future.result() is None:
             self.leave(0.0)
 
-    def _follow(self, step: admission_lib.Step) -> None:
+    def _follow(self, step: admission_queue.Step) -> None:
         """Tells waiting calls what was decided."""
         for item_id in step.started:
             self._settle(item_id, None)
--- /dev/null
+++ b/packages/burdockfront/src/burdockfront/admission_queue.py
@@ -0,0 +1,214 @@
+"""The part that all kinds of admission share: slots, and a queue before them.
+
+The queue is bounded by time, not by length: a request waits `queue_s` at the
+most, and one whose deadline can't be met is refused at once. When a better
+request arrives and the queue already holds more than can be served in
+`queue_s`, the worst one is refused at once.
+"""
+
+import dataclasses
+import heapq
+import itertools
+
+from burdockfront import context as context_lib
+from burdockfront import levels
+from burdockfront import limits
+from burdockfront import outcomes
+from burdockfront import policy
+
+_SERVICE_TIME_WEIGHT = 0.1
+_MIN_QUEUE = 2
+# What a refused caller is told: long enough that repeats don't add to the
+# load that caused the refusal, short enough for the recovery aim of seconds.
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A queued request that is given up, with the answer it gets now."""
+
+    item_id: str
+    answer: outcomes.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """What follows from an event: requests that start and that are refused."""
+
+    started: tuple[str, ...] = ()
+    refused: tuple[Refusal, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    item_id: str
+    order: tuple[int, ...]
+    priority: int
+    arrived_s: float
+    give_up_s: float
+    patient: bool
+    gone: bool = False
+
+
+class QueueAdmission:
+    """Slots, a time-bounded queue, and its order, which a kind defines."""
+
+    def __init__(
+        self,
+        admission_policy: policy.AdmissionPolicy,
+        limit: limits.ConcurrencyLimit,
+        now_s: float,
+    ):
+        self.in_use = 0
+        self._policy = admission_policy
+        self._limit = limit
+        self._heap: list[tuple[tuple[int, ...], int, _Waiting]] = []
+        self._by_id: dict[str, _Waiting] = {}
+        self._sequence = itertools.count()
+        self._service_s = 0.05
+        self._busy_slot_s = 0.0
+        self._counted_s = now_s
+        self._window_begin_s = now_s
+
+    def offer(
+        self, item_id: str, context: context_lib.RequestContext, now_s: float
+    ) -> Step:
+        """Starts, queues or refuses a request."""
+        if self._above_level(context):
+            return self._refuse_new(item_id, outcomes.Reason.SHED)
+        if context.remaining_s <= 0.0:
+            return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
+        self._count_admitted(context)
+        patience_s = self._patience_s(context)
+        waiting = _Waiting(
+            item_id,
+            self._order(context),
+            context.priority,
+            now_s,
+            now_s + patience_s,
+            patience_s > self._policy.queue_s,
+        )
+        self._by_id[item_id] = waiting
+        heapq.heappush(
+            self._heap, (waiting.order, next(self._sequence), waiting)
+        )
+        started = self._start(now_s)
+        return Step(started, self._trim(now_s))
+
+    def release(self, service_s: float, now_s: float) -> Step:
+        """Frees a slot, learns the service time, starts the next."""
+        assert self.in_use > 0, "a slot is released once"
+        self._count_busy(now_s)
+        self._limit.completed(service_s, self.in_use, now_s)
+        self.in_use -= 1
+        self._service_s += _SERVICE_TIME_WEIGHT * (service_s - self._service_s)
+        refused = self._give_up(now_s)
+        return Step(self._start(now_s), refused)
+
+    def cancel(self, item_id: str) -> None:
+        """Drops a queued request whose caller has gone."""
+        waiting = self._by_id.pop(item_id, None)
+        if waiting is not None:
+            waiting.gone = True
+
+    def advance(self, now_s: float) -> Step:
+        """Gives up what waited too long; starts what a ramp allows."""
+        refused = self._give_up(now_s)
+        return Step(self._start(now_s), refused)
+
+    def level(self) -> int:
+        """Returns the highest admitted priority number."""
+        return levels.OPEN
+
+    def load(self, now_s: float) -> float:
+        """Returns slots used and waited for, per slot."""
+        return (self.in_use + len(self._by_id)) / self._limit.current(now_s)
+
+    def busy(self) -> float:
+        """Returns 1.0: kinds without a level do not measure it."""
+        return 1.0
+
+    def served(self, class_name: str, service_s: float) -> None:
+        """Learns nothing: only kinds that follow the flow need it."""
+
+    def shed_by_backend(self, now_s: float) -> None:
+        """Lowers the limit below what was in use."""
+        self._limit.shed_by_backend(self.in_use, now_s)
+
+    def adopt(self, new: policy.AdmissionPolicy) -> None:
+        """Takes changed parameters."""
+        self._policy = new
+        self._limit.set_ramp(new.ramp_s)
+
+    def _patience_s(self, context: context_lib.RequestContext) -> float:
+        return min(self._policy.queue_s, context.remaining_s)
+
+    def _order(self, context: context_lib.RequestContext) -> tuple[int, ...]:
+        raise NotImplementedError
+
+    def _above_level(self, context: context_lib.RequestContext) -> bool:
+        return False
+
+    def _count_admitted(self, context: context_lib.RequestContext) -> None:
+        pass
+
+    def _waited(self, delay_s: float) -> None:
+        pass
+
+    def _dropped(self, priority: int) -> None:
+        pass
+
+    def _refuse_new(self, item_id: str, reason: outcomes.Reason) -> Step:
+        answer = outcomes.not_run(reason, RETRY_AFTER_S)
+        return Step(refused=(Refusal(item_id, answer),))
+
+    def _start(self, now_s: float) -> tuple[str, ...]:
+        started = []
+        self._count_busy(now_s)
+        limit = self._limit.current(now_s)
+        while self._heap and self.in_use < limit:
+            _, _, waiting = heapq.heappop(self._heap)
+            if waiting.gone:
+                continue
+            del self._by_id[waiting.item_id]
+            self.in_use += 1
+            self._waited(now_s - waiting.arrived_s)
+            started.append(waiting.item_id)
+        return tuple(started)
+
+    def _count_busy(self, now_s: float) -> None:
+        self._busy_slot_s += self.in_use * (now_s - self._counted_s)
+        self._counted_s = now_s
+
+    def _busy_share(self, now_s: float) -> float:
+        """Returns the share of slots in use since the last question."""
+        self._count_busy(now_s)
+        elapsed_s = max(1e-6, now_s - self._window_begin_s)
+        share = self._busy_slot_s / elapsed_s / self._limit.current(now_s)
+        self._busy_slot_s = 0.0
+        self._window_begin_s = now_s
+        return share
+
+    def _give_up(self, now_s: float) -> tuple[Refusal, ...]:
+        late = [w for w in self._by_id.values() if w.give_up_s <= now_s]
+        return tuple(self._refuse(waiting) for waiting in late)
+
+    def _trim(self, now_s: float) -> tuple[Refusal, ...]:
+        limit = self._limit.current(now_s)
+        useful = int(limit * self._policy.queue_s / max(self._service_s, 1e-3))
+        excess = len(self._by_id) - max(_MIN_QUEUE, useful)
+        if excess <= 0:
+            return ()
+        # What may wait longer is not dropped for being many.
+        droppable = [w for w in self._by_id.values() if not w.patient]
+        worst = heapq.nlargest(
+            excess, droppable, key=lambda w: (w.order, w.arrived_s)
+        )
+        return tuple(self._refuse(waiting) for waiting in worst)
+
+    def _refuse(self, waiting: _Waiting) -> Refusal:
+        del self._by_id[waiting.item_id]
+        waiting.gone = True
+        self._dropped(waiting.priority)
+        answer = outcomes.not_run(outcomes.Reason.OVERLOAD, RETRY_AFTER_S)
+        return Refusal(waiting.item_id, answer)
