A limit that a backend server names holds, where all its requests pass

What callers saw: a server in need, which names how many requests a second it takes, got as many as before. Cause: nobody read the header; the class is a statement of a backend server that no part of the product listens to.

The guard is the one place that all requests of a server pass, so a token bucket there holds the sum over all nodes without a message. It begins empty: full ones of several starts would add up. A limit ends only with an answer to a request that was handed over after the last naming, because of two answers nobody can tell which was given later. Who can't have a token within its patience is refused at once; confirmations and paid work take the next one. Below one in two seconds that much is let through, or the end would never be heard. Waits for tokens are not told as pressure on slots.

--- a/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
@@ -7,6 +7,7 @@
 import time
 
 from burdockfront import incarnations
+from burdockfront import rate_limits
 from burdockfront import self_reports
 from burdockfront import timeline
 
@@ -19,26 +20,33 @@
 
     Attributes:
         report: What that start said last.
+        rate: Holds the limit that it names.
     """
 
     def __init__(self, recorder: timeline.Recorder):
         self.report = self_reports.SelfReport(incarnations.NAMELESS)
+        self.rate = rate_limits.RateLimit()
         self._recorder = recorder
         self._unreadable = ""
 
     def in_service(self, start: incarnations.Start) -> None:
         """Notes which start is in service; another one has said nothing yet."""
         if not start.may_be(self.report.start):
+            self.rate.begin_anew()
             self._believe(self_reports.SelfReport(start))
 
     def answered(
-        self, said: self_reports.Said, start: incarnations.Start
+        self,
+        said: self_reports.Said,
+        start: incarnations.Start,
+        handed_s: float,
     ) -> None:
-        """Learns from an answer.
+        """Learns from an answer that came just now.
 
         Args:
             said: What it says.
             start: Which start gave it.
+            handed_s: When its request was handed over.
         """
         if said is self_reports.NOTHING and self.report.is_plain:
             return
@@ -47,9 +55,9 @@
         if said.unreadable:
             self._note_unreadable(said.unreadable)
             return
-        self._believe(
-            self_reports.SelfReport(start, said.leaving, said.limit_per_s)
-        )
+        self.rate.answered(said.limit_per_s, handed_s, time.monotonic())
+        leaving = said.leaving or self.report.leaving
+        self._believe(self_reports.SelfReport(start, leaving, self.rate.per_s))
 
     def _believe(self, report: self_reports.SelfReport) -> None:
         before = self.report
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -64,7 +64,7 @@
         self._note_begin(attempt, started_s)
         answer: outcomes.Answer | None = None
         try:
-            answer = await self._to_backend(attempt, nonce)
+            answer = await self._to_backend(attempt, nonce, started_s)
         finally:
             service_s = time.monotonic() - started_s
             self._note_end(gate, answer, service_s)
@@ -106,7 +106,7 @@
             self._lineage.run_began(attempt)
 
     async def _to_backend(
-        self, attempt: calls.Attempt, nonce: str | None
+        self, attempt: calls.Attempt, nonce: str | None, started_s: float
     ) -> outcomes.Answer:
         announced = self._availability.announcement
         if announced is None:
@@ -118,7 +118,7 @@
             announced, attempt, nonce, limit_bytes
         )
         if answer.said is not None:
-            self._beliefs.answered(answer.said, announced.start)
+            self._beliefs.answered(answer.said, announced.start, started_s)
         return answer
 
     def _note_end(
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -16,6 +16,7 @@
 from burdockfront import limits
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
+from burdockfront import rate_limits
 from burdockfront_node import backend as backend_lib
 
 
@@ -31,15 +32,18 @@
     Args:
         announcement: What the backend server said of itself first.
         policy_of: Returns the policy in force of a service.
+        rate: The rate that the backend server names on its answers.
     """
 
     def __init__(
         self,
         announcement: backend_lib.Announcement,
         policy_of: Callable[[str], policy_lib.Policy],
+        rate: rate_limits.RateLimit,
     ):
         now_s = time.monotonic()
         self._service = announcement.service
+        self._rate = rate
         self._policy_of = policy_of
         self._policy = policy_of(announcement.service)
         rules = self._policy.admission
@@ -49,7 +53,7 @@
             now_s,
             cold=announcement.state == "cold",
         )
-        self._admission = admission_lib.create(rules, self._limit, now_s)
+        self._admission = admission_lib.create(rules, self._limit, now_s, rate)
         self._waiting: dict[str, _Waiting] = {}
         self.cancelled = 0
 
@@ -61,7 +65,10 @@
     @property
     def full(self) -> bool:
         """Whether the next call waits."""
-        return self._admission.in_use >= self._limit.current(time.monotonic())
+        now_s = time.monotonic()
+        if self._rate.wait_s(1, now_s) > 0.0:
+            return True
+        return self._admission.in_use >= self._limit.current(now_s)
 
     @property
     def under_pressure(self) -> bool:
@@ -144,7 +151,9 @@
         # policy has to be in force within seconds: those that hold a slot
         # keep it, those that wait queue up once more.
         now_s = time.monotonic()
-        fresh = admission_lib.create(policy.admission, self._limit, now_s)
+        fresh = admission_lib.create(
+            policy.admission, self._limit, now_s, self._rate
+        )
         fresh.in_use = self._admission.in_use
         self._admission = fresh
         for attempt_id, waiting in list(self._waiting.items()):
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -166,7 +166,9 @@
         self.beliefs.in_service(announcement.start)
         self._availability.announce(announcement)
         if self._gate is None:
-            self._gate = gate_lib.Gate(announcement, self._policy_of)
+            self._gate = gate_lib.Gate(
+                announcement, self._policy_of, self.beliefs.rate
+            )
         turned_cold = announcement.state == "cold" and (
             before is None or before.state != "cold"
         )
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -9,6 +9,7 @@
 The kinds `limit` and `none` are the baselines to compare with.
 """
 
+import heapq
 from typing import Protocol
 
 from burdockfront import admission_queue
@@ -17,6 +18,7 @@
 from burdockfront import levels
 from burdockfront import limits
 from burdockfront import policy
+from burdockfront import rate_limits
 from burdockfront import registry
 
 KINDS = registry.Registry("admission kind")
@@ -75,9 +77,10 @@
         self,
         admission_policy: policy.AdmissionPolicy,
         limit: limits.ConcurrencyLimit,
+        rate: rate_limits.RateLimit,
         now_s: float,
     ):
-        super().__init__(admission_policy, limit, now_s)
+        super().__init__(admission_policy, limit, rate, now_s)
         self._control = levels.LevelControl(
             admission_policy.queue_s * _TARGET_SHARE, _WINDOW_S, now_s
         )
@@ -145,9 +148,10 @@
         self,
         admission_policy: policy.AdmissionPolicy,
         limit: limits.ConcurrencyLimit,
+        rate: rate_limits.RateLimit,
         now_s: float,
     ):
-        super().__init__(admission_policy, limit, now_s)
+        super().__init__(admission_policy, limit, rate, now_s)
         self._flow = flow_level.FlowControl(_FLOW_WINDOW_S, now_s)
         self._work_s: dict[str, float] = {}
 
@@ -202,22 +206,36 @@
         return ()
 
     def _start(self, now_s: float) -> tuple[str, ...]:
-        started = tuple(w.item_id for _, _, w in self._heap if not w.gone)
-        self._heap.clear()
-        self._by_id.clear()
+        started = []
+        while self._heap:
+            _, _, waiting = self._heap[0]
+            if not waiting.gone:
+                if not self._rate.take(now_s):
+                    break
+                del self._by_id[waiting.item_id]
+                started.append(waiting.item_id)
+            heapq.heappop(self._heap)
         self.in_use += len(started)
-        return started
+        return tuple(started)
 
 
 def create(
     admission_policy: policy.AdmissionPolicy,
     limit: limits.ConcurrencyLimit,
     now_s: float,
+    rate: rate_limits.RateLimit | None = None,
 ) -> Admission:
     """Returns admission of the policy's kind.
 
+    Args:
+        admission_policy: Names the kind, and its parameters.
+        limit: How many requests may run at once.
+        now_s: The current time.
+        rate: The rate that the backend server names; by default none, ever.
+
     Raises:
         UnknownVariantError: The policy names no registered kind.
     """
     kind = KINDS.get(admission_policy.kind)
-    return kind(admission_policy, limit, now_s)
+    rate = rate or rate_limits.RateLimit()
+    return kind(admission_policy, limit, rate, now_s)
--- a/packages/burdockfront/src/burdockfront/admission_queue.py
+++ b/packages/burdockfront/src/burdockfront/admission_queue.py
@@ -15,6 +15,7 @@
 from burdockfront import limits
 from burdockfront import outcomes
 from burdockfront import policy
+from burdockfront import rate_limits
 
 _SERVICE_TIME_WEIGHT = 0.1
 _MIN_QUEUE = 2
@@ -57,11 +58,13 @@
         self,
         admission_policy: policy.AdmissionPolicy,
         limit: limits.ConcurrencyLimit,
+        rate: rate_limits.RateLimit,
         now_s: float,
     ):
         self.in_use = 0
         self._policy = admission_policy
         self._limit = limit
+        self._rate = rate
         self._heap: list[tuple[tuple[int, ...], int, _Waiting]] = []
         self._by_id: dict[str, _Waiting] = {}
         self._sequence = itertools.count()
@@ -78,8 +81,10 @@
             return self._refuse_new(item_id, outcomes.Reason.SHED)
         if context.remaining_s <= 0.0:
             return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
-        self._count_admitted(context)
         patience_s = self._patience_s(context)
+        if self._token_wait_s(context, now_s) > patience_s:
+            return Step(refused=(Refusal(item_id, self._limited()),))
+        self._count_admitted(context)
         waiting = _Waiting(
             item_id,
             self._order(context),
@@ -158,6 +163,23 @@
     def _dropped(self, priority: int) -> None:
         pass
 
+    def _token_wait_s(
+        self, context: context_lib.RequestContext, now_s: float
+    ) -> float:
+        """Returns how long a request would wait for the server's own limit."""
+        if self._rate.per_s is None:
+            return 0.0
+        order = self._order(context)
+        ahead = sum(w.order <= order for w in self._by_id.values())
+        return self._rate.wait_s(ahead + 1, now_s)
+
+    def _limited(self) -> outcomes.Answer:
+        """Returns the refusal of what the server's own limit has no room for.
+
+        It says how long a router should stay away.
+        """
+        return outcomes.not_run(outcomes.Reason.LIMITED, self._rate.refuse())
+
     def _refuse_new(self, item_id: str, reason: outcomes.Reason) -> Step:
         answer = outcomes.not_run(reason, RETRY_AFTER_S)
         return Step(refused=(Refusal(item_id, answer),))
@@ -167,12 +189,17 @@
         self._count_busy(now_s)
         limit = self._limit.current(now_s)
         while self._heap and self.in_use < limit:
-            _, _, waiting = heapq.heappop(self._heap)
+            _, _, waiting = self._heap[0]
             if waiting.gone:
+                heapq.heappop(self._heap)
                 continue
+            if not self._rate.take(now_s):
+                break
+            heapq.heappop(self._heap)
             del self._by_id[waiting.item_id]
             self.in_use += 1
-            self._waited(now_s - waiting.arrived_s)
+            if self._rate.per_s is None:
+                self._waited(now_s - waiting.arrived_s)
             started.append(waiting.item_id)
         return tuple(started)
 
@@ -209,6 +236,9 @@
     def _refuse(self, waiting: _Waiting) -> Refusal:
         del self._by_id[waiting.item_id]
         waiting.gone = True
+        if self._rate.per_s is not None:
+            # What a queue for slots tells of pressure, this one does not.
+            return Refusal(waiting.item_id, self._limited())
         self._dropped(waiting.priority)
         answer = outcomes.not_run(outcomes.Reason.OVERLOAD, RETRY_AFTER_S)
         return Refusal(waiting.item_id, answer)
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -33,6 +33,7 @@
     OVERLOAD = "overload"
     SHED = "shed"
     OVERLOAD_DEEPER = "overload-deeper"
+    LIMITED = "limited"
     DEADLINE = "deadline"
     DRAINING = "draining"
     NO_BACKEND = "no-backend"
@@ -108,6 +109,7 @@
     Reason.OVERLOAD: 503,
     Reason.SHED: 503,
     Reason.OVERLOAD_DEEPER: 503,
+    Reason.LIMITED: 503,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
     Reason.NO_BACKEND: 503,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,6 +14,7 @@
 from burdockfront import members
 from burdockfront import outcomes
 from burdockfront import policy
+from burdockfront import rate_limits
 from burdockfront import routes
 from burdockfront import tables
 from burdockfront import tickets
@@ -100,11 +101,14 @@
 
 
 def an_admission(
-    kind: str = "level", slots: int = 2, queue_s: float = 0.25
+    kind: str = "level",
+    slots: int = 2,
+    queue_s: float = 0.25,
+    rate: rate_limits.RateLimit | None = None,
 ) -> admission.Admission:
     rules = policy.AdmissionPolicy(kind=kind, queue_s=queue_s, ramp_s=0.0)
     limit = limits.ConcurrencyLimit(slots, 0.0, 0.0)
-    return admission.create(rules, limit, 0.0)
+    return admission.create(rules, limit, 0.0, rate)
 
 
 def a_refusal() -> outcomes.Answer:
--- a/tests/unit/test_backend_beliefs.py
+++ b/tests/unit/test_backend_beliefs.py
@@ -1,5 +1,7 @@
 """What a guard believes of the terms that its backend server names."""
 
+import time
+
 from burdockfront import incarnations
 from burdockfront import self_reports
 from burdockfront import timeline
@@ -22,7 +24,8 @@
 def test_each_change_of_a_limit_is_one_line():
     beliefs, recorder = _beliefs()
     for limit_per_s in (6.5, 6.5, 9.0, None, None):
-        beliefs.answered(self_reports.Said(limit_per_s=limit_per_s), _START)
+        said = self_reports.Said(limit_per_s=limit_per_s)
+        beliefs.answered(said, _START, time.monotonic())
     found = recorder.select(timeline.Filter(kind="backend.limit"), 100)
     told = [(e.detail["before"], e.detail["limit_per_s"]) for e in found]
     assert told == [(None, 6.5), (6.5, 9.0), (9.0, None)]
@@ -30,9 +33,9 @@
 
 def test_unreadable_limit_changes_nothing_and_is_told_once():
     beliefs, recorder = _beliefs()
-    beliefs.answered(self_reports.Said(limit_per_s=6.5), _START)
+    beliefs.answered(self_reports.Said(limit_per_s=6.5), _START, 0.0)
     for _ in range(3):
-        beliefs.answered(self_reports.Said(unreadable="many"), _START)
+        beliefs.answered(self_reports.Said(unreadable="many"), _START, 0.0)
     assert beliefs.report.limit_per_s == 6.5
     assert _kinds(recorder) == ["backend.limit", "backend.limit-unreadable"]
 
@@ -40,8 +43,8 @@
 def test_next_start_of_a_backend_server_has_said_nothing_yet():
     beliefs, _ = _beliefs()
     said = self_reports.Said(leaving=True, limit_per_s=6.5)
-    beliefs.answered(said, _START)
+    beliefs.answered(said, _START, 0.0)
     beliefs.in_service(incarnations.Start("i-2"))
     assert beliefs.report.is_plain
-    beliefs.answered(said, _START)
+    beliefs.answered(said, _START, 0.0)
     assert beliefs.report.is_plain, "a late answer of the start before"
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from burdockfront import policy
+from burdockfront import rate_limits
 from burdockfront_node import backend
 from burdockfront_node import gate as gate_lib
 from tests import builders
@@ -12,7 +13,9 @@
     announcement = backend.parse_announcement(
         {"service": "fees", "address": "127.0.0.1:1", "slots": slots}
     )
-    return gate_lib.Gate(announcement, lambda service: policies["now"])
+    return gate_lib.Gate(
+        announcement, lambda service: policies["now"], rate_limits.RateLimit()
+    )
 
 
 def _context(name: str):
