Calls bear what their sender last heard of the backend server they go to

What callers saw: a server in need, beside which the node begins anew, is overrun by all that waits until its first answer. Cause: a guard's belief ends with its process, while every VM that passed the server's answers on is bound still.

A guard tells what its server says of itself with its answers, routers keep the last report of each guard, and send it back with each call to it, only while there is one: so the guard knows before it hands over anything of a VM that is bound, and needs no store, no news between nodes and no message. What the server answers to this process goes before what others remember. Weighed: news of members (late by seconds, and gone with the only teller), a question to the server at the start (a server in need is slow to answer).

Nothing is added to calls and answers while no server says anything of the kind; older builds ignore the further part.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -242,7 +242,9 @@
         trail=[],
         arrivals=0,
     )
-    return calls.Attempt(call, dataclasses.replace(context), attempt.ticket)
+    return calls.Attempt(
+        call, dataclasses.replace(context), attempt.ticket, attempt.told
+    )
 
 
 def lost(target: guards.Target) -> peers.LostAnswerError:
--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -9,6 +9,7 @@
 from burdockfront import context as context_lib
 from burdockfront import outcomes
 from burdockfront import policy
+from burdockfront import self_reports
 from burdockfront import tickets
 from burdockfront_client import attempts
 
@@ -97,11 +98,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One try of a call at one guard."""
+    """One try of a call at one guard.
+
+    Attributes:
+        call: The call.
+        context: Its context, for this try.
+        ticket: Ticket of a call that must not repeat.
+        told: What its sender last heard of the guard's backend server.
+    """
 
     call: Call
     context: context_lib.RequestContext
     ticket: tickets.Ticket | None
+    told: self_reports.SelfReport | None = None
 
 
 class Fate(enum.Enum):
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -15,6 +15,7 @@
 from burdockfront import levels
 from burdockfront import outcomes
 from burdockfront import routing
+from burdockfront import self_reports
 from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import call_link
@@ -92,6 +93,7 @@
         # that still wait somewhere. The id goes to and fro with each call, so
         # it is short: of a thousand processes two have the same prefix once in
         # ten thousand times, and then only equal ids at one guard would meet.
+        self._reports = self_reports.HeardReports()
         self._prefix = f"{secrets.token_hex(4)}."
         self._sequence = itertools.count(1)
 
@@ -121,6 +123,8 @@
         """
         started_s = time.monotonic()
         attempt = self._attempt_of(call, ticket, timeout_s)
+        if target.node_id in self._reports.by_node:
+            attempt.told = self._reports.by_node[target.node_id]
         attempt_id = attempt.context.attempt_id
         self._counters.attempts += 1
         self._router.sent(target.node_id)
@@ -242,7 +246,7 @@
         return [
             *call.headers,
             (wire.CONTEXT, self._encoded(attempt.context, call.headers)),
-            (wire.CALL, wire.encode_call(stamp, mark, ticket)),
+            (wire.CALL, wire.encode_call(stamp, mark, ticket, attempt.told)),
         ]
 
     def _encoded(
@@ -279,6 +283,12 @@
         self._router.ways.heard(
             target.node_id, call.context.class_name, answer.far_kb, now_s
         )
+        if answer.report is not None:
+            from_server = (
+                answer.outcome is outcomes.Outcome.DONE
+                or answer.reason is outcomes.Reason.REJECTED
+            )
+            self._reports.heard(target.node_id, answer.report, from_server)
         if answer.level is not None:
             self._book.hear(
                 call.service,
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -14,6 +14,7 @@
 from burdockfront import context as context_lib
 from burdockfront import errors
 from burdockfront import outcomes
+from burdockfront import self_reports
 
 # Between nodes, where each byte and each header is paid for.
 CONTEXT = "b-context"
@@ -52,6 +53,7 @@
 _INTERNAL = frozenset([CONTEXT, CALL, ANSWER])
 _INTERNAL_PREFIX = "burdockfront-"
 _NAMES_REMEMBERED = 1024
+_PARTS_WITHOUT_REPORT = 14
 _OUTCOMES = {outcome.value: outcome for outcome in outcomes.Outcome}
 
 
@@ -102,6 +104,7 @@
         mark: What the entry says besides.
         ticket: Ticket of a call that must not repeat; empty if it may.
         headers: The caller's own headers, which travel on.
+        report: What the asking node last heard of the backend server.
     """
 
     context: str
@@ -109,15 +112,30 @@
     mark: Mark
     ticket: str
     headers: tuple[tuple[str, str], ...]
+    report: self_reports.SelfReport | None = None
 
 
-def encode_call(stamp: int, mark: Mark, ticket: str) -> str:
-    """Returns the header value that describes a call; the host has its own."""
+def encode_call(
+    stamp: int,
+    mark: Mark,
+    ticket: str,
+    report: self_reports.SelfReport | None = None,
+) -> str:
+    """Returns the header value that describes a call; the host has its own.
+
+    Args:
+        stamp: The asking node's clock.
+        mark: What the entry says of the call.
+        ticket: Ticket of a call that must not repeat; empty if it may.
+        report: What the asking node last heard of the backend server.
+    """
     parts: list[object]
     parts = [stamp, mark.repeatable, mark.origin_service, ticket]
-    if mark.account:
+    if mark.account or report is not None:
         # Nodes of releases that know no accounts take four parts.
         parts.append(mark.account)
+    if report is not None:
+        parts.append(report.to_parts())
     return orjson.dumps(parts).decode("latin-1")
 
 
@@ -158,7 +176,10 @@
     if repeatable is not None:
         account = rest[0] if rest else ""
         mark = Mark(repeatable, host, origin_service, account)
-    return ToldCall(context, stamp, mark, ticket, tuple(kept))
+    report = None
+    if len(rest) > 1:
+        report = self_reports.from_parts(rest[1])
+    return ToldCall(context, stamp, mark, ticket, tuple(kept), report)
 
 
 def restore_id(
@@ -177,24 +198,25 @@
 
 def encode_answer(answer: outcomes.Answer, attempt_id: str, stamp: int) -> str:
     """Returns the header value that describes an answer."""
-    return orjson.dumps(
-        [
-            attempt_id,
-            answer.outcome,
-            answer.reason,
-            answer.retry_after_s,
-            answer.unspent,
-            answer.level,
-            answer.moved_to,
-            round(answer.queue_s, 4),
-            None if answer.load is None else round(answer.load, 3),
-            answer.draining,
-            stamp,
-            answer.starved,
-            answer.inner,
-            round(answer.far_kb, 1),
-        ]
-    ).decode()
+    parts: list[object] = [
+        attempt_id,
+        answer.outcome,
+        answer.reason,
+        answer.retry_after_s,
+        answer.unspent,
+        answer.level,
+        answer.moved_to,
+        round(answer.queue_s, 4),
+        None if answer.load is None else round(answer.load, 3),
+        answer.draining,
+        stamp,
+        answer.starved,
+        answer.inner,
+        round(answer.far_kb, 1),
+    ]
+    if answer.report is not None:
+        parts.append(answer.report.to_parts())
+    return orjson.dumps(parts).decode()
 
 
 def is_answer_to(value: str | None, attempt_id: str) -> bool:
@@ -250,8 +272,15 @@
             inner=parts[12],
             far_kb=parts[13],
         )
+        if len(parts) > _PARTS_WITHOUT_REPORT:
+            answer.report = self_reports.from_parts(parts[14])
         return answer, parts[10]
-    except (LookupError, TypeError, ValueError) as error:
+    except (
+        errors.InvalidInputError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         # Raised as what it is, it would pass those who count open attempts.
         raise errors.DispatchError(
             f"expected {ANSWER} of this release, got {value[:60]!r} with "
--- a/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
@@ -4,6 +4,8 @@
 is known and held in one place, whichever node asked.
 """
 
+import collections
+import dataclasses
 import time
 
 from burdockfront import incarnations
@@ -11,6 +13,9 @@
 from burdockfront import self_reports
 from burdockfront import timeline
 
+# Starts of one server that are heard of within a moment; two as a rule.
+_MOST_TOLD = 8
+
 
 class BackendBeliefs:
     """Beliefs about the start of a backend server that is in service.
@@ -28,12 +33,22 @@
         self.rate = rate_limits.RateLimit()
         self._recorder = recorder
         self._unreadable = ""
+        # Whether any answer of this start has come to this process.
+        self._answered = False
+        # What was told of starts that are not in service (yet).
+        self._told: collections.OrderedDict[
+            incarnations.Start, self_reports.SelfReport
+        ] = collections.OrderedDict()
 
     def in_service(self, start: incarnations.Start) -> None:
         """Notes which start is in service; another one has said nothing yet."""
-        if not start.may_be(self.report.start):
-            self.rate.begin_anew()
-            self._believe(self_reports.SelfReport(start))
+        if start.may_be(self.report.start):
+            return
+        self._answered = False
+        self.rate.begin_anew()
+        self._believe(self_reports.SelfReport(start), "start")
+        for report in list(self._told.values()):
+            self.told(report)
 
     def answered(
         self,
@@ -49,17 +64,52 @@
             handed_s: When its request was handed over.
         """
         if said is self_reports.NOTHING and self.report.is_plain:
+            self._answered = self._answered or start.may_be(self.report.start)
             return
         if not start.may_be(self.report.start):
             return
+        self._answered = True
         if said.unreadable:
             self._note_unreadable(said.unreadable)
             return
         self.rate.answered(said.limit_per_s, handed_s, time.monotonic())
         leaving = said.leaving or self.report.leaving
-        self._believe(self_reports.SelfReport(start, leaving, self.rate.per_s))
+        self._believe(
+            self_reports.SelfReport(start, leaving, self.rate.per_s), "answer"
+        )
+
+    def told(self, report: self_reports.SelfReport) -> None:
+        """Takes what another node remembers, or a question to the server told.
+
+        What answers said to this process is newer.
+        """
+        if not report.start.may_be(self.report.start):
+            self._told[report.start] = report
+            if len(self._told) > _MOST_TOLD:
+                self._told.popitem(last=False)
+            return
+        if self._answered or report.limit_per_s is None:
+            return
+        if self.rate.per_s is None:
+            self.rate.hold(report.limit_per_s, time.monotonic())
+            believed = dataclasses.replace(
+                self.report, limit_per_s=report.limit_per_s
+            )
+            self._believe(believed, "told")
+
+    def report_to(
+        self, told: self_reports.SelfReport | None
+    ) -> self_reports.SelfReport | None:
+        """Returns what a router should hear with an answer.
+
+        Args:
+            told: What it believes; if that is wrong it has to be corrected.
+        """
+        if told is None and self.report.is_plain:
+            return None
+        return self.report
 
-    def _believe(self, report: self_reports.SelfReport) -> None:
+    def _believe(self, report: self_reports.SelfReport, source: str) -> None:
         before = self.report
         self.report = report
         if report.limit_per_s != before.limit_per_s:
@@ -69,12 +119,14 @@
                 instance=report.start.instance_id,
                 before=before.limit_per_s,
                 limit_per_s=report.limit_per_s,
+                source=source,
             )
         if report.leaving and not before.leaving:
             self._recorder.record(
                 time.time(),
                 "backend.says-it-leaves",
                 instance=report.start.instance_id,
+                source=source,
             )
 
     def _note_unreadable(self, value: str) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -207,6 +207,8 @@
 
     async def handle(self, attempt: calls.Attempt) -> outcomes.Answer:
         """Serves one attempt, from the network or from this node."""
+        if attempt.told is not None:
+            self.beliefs.told(attempt.told)
         if self._lineage is not None:
             attempt = self._lineage.classify(attempt)
         if attempt.ticket is not None:
@@ -215,7 +217,7 @@
             answer = await self._run(attempt)
         else:
             answer = outcomes.not_run(outcomes.Reason.TICKET_NEEDED)
-        return self._with_state(attempt.context, answer)
+        return self._with_state(attempt, answer)
 
     async def tick_forever(self) -> None:
         """Lets queued calls expire, levels move and stalls be seen.
@@ -356,12 +358,14 @@
         return dataclasses.replace(refusal, unspent=unspent)
 
     def _with_state(
-        self, context: context_lib.RequestContext, answer: outcomes.Answer
+        self, attempt: calls.Attempt, answer: outcomes.Answer
     ) -> outcomes.Answer:
         """Adds what the asking side should know of this guard."""
         if answer.outcome is outcomes.Outcome.UNKNOWN:
             self._counters.unknown += 1
+        context = attempt.context
         answer.level = self._told_level(context, answer)
+        answer.report = self.beliefs.report_to(attempt.told)
         answer.load = self.load()
         answer.draining = not self.takes_work or self.announcement is None
         answer.inner = context.depth > 0
--- a/packages/burdockfront-node/src/burdockfront_node/internal_app.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_app.py
@@ -106,7 +106,7 @@
             origin_service=told.mark.origin_service,
             account=told.mark.account,
         )
-        return calls.Attempt(call, context, ticket)
+        return calls.Attempt(call, context, ticket, told.report)
 
 
 def json_route(
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -85,6 +85,8 @@
             cost below the guard that answered, on average.
         said: What the backend server says of itself on it; None if it is not
             its answer.
+        report: What the guard believes that its backend server says of itself;
+            None if that is nothing out of the ordinary.
     """
 
     outcome: Outcome
@@ -103,6 +105,7 @@
     inner: bool = False
     far_kb: float = 0.0
     said: self_reports.Said | None = None
+    report: self_reports.SelfReport | None = None
 
 
 _STATUS_OF_REASON = {
--- a/packages/burdockfront/src/burdockfront/self_reports.py
+++ b/packages/burdockfront/src/burdockfront/self_reports.py
@@ -5,6 +5,7 @@
 about one start of the server: the next one has said nothing yet.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -12,6 +13,8 @@
 from burdockfront import incarnations
 
 _PARTS = 4
+# More than the nodes of the largest system; each says something but seldom.
+_MOST_REMEMBERED = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +67,49 @@
         ]
 
 
+class HeardReports:
+    """What guards told of their backend servers, kept by those who asked.
+
+    A guard that begins anew knows nothing of its server, while every VM that
+    passed the server's answers on is bound by them. So a call to that guard
+    bears what its sender heard last, and the guard knows it before it hands
+    over anything of that sender.
+
+    Attributes:
+        by_node: The last report of each guard that said anything.
+    """
+
+    def __init__(self) -> None:
+        self.by_node: collections.OrderedDict[str, SelfReport] = (
+            collections.OrderedDict()
+        )
+
+    def heard(
+        self, node_id: str, report: SelfReport, from_server: bool
+    ) -> None:
+        """Takes what came with an answer.
+
+        Args:
+            node_id: The guard that told it.
+            report: What it told.
+            from_server: The backend server itself gave the answer. A guard's
+                own word on another start may rest on a late heartbeat; that a
+                server left is forgotten only when its successor answers.
+        """
+        known = self.by_node.get(node_id)
+        if known is not None and known.leaving:
+            if known.start.may_be(report.start):
+                report = dataclasses.replace(report, leaving=True)
+            elif not from_server:
+                return
+        if report.is_plain:
+            self.by_node.pop(node_id, None)
+            return
+        self.by_node[node_id] = report
+        if len(self.by_node) > _MOST_REMEMBERED:
+            self.by_node.popitem(last=False)
+
+
 def limit_from(values: list[str]) -> Said:
     """Reads a limit that an answer names.
 
