A backend server that says on its answers that it leaves gets nothing more

What callers saw: work for a server that had said on its answers that it leaves, where no heartbeat says so (they go on saying ready), and again after its guard began anew. Cause, as with limits: nobody read the header.

The word marks the start of the server as leaving, in the same record that heartbeats and ends do, where it can't be taken back; routers remember it beside the limit and tell a guard that begins anew. They forget it only when a successor has answered: a guard's word on another start may rest on a late heartbeat.

The same place held one moment for two things: that the server leaves, and that the node is drained. So a server that came back took back a planned stop, and an operator's 'undrain' a server's leaving. They are two now, each with a test that failed before.

--- a/packages/burdockfront-node/src/burdockfront_node/availability.py
+++ b/packages/burdockfront-node/src/burdockfront_node/availability.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 
 from burdockfront import outcomes
@@ -55,13 +56,16 @@
         self.stalls = stalls_lib.StallDetector(rules.stall_floor_s)
         self._ready = ready
         self._rules = rules
-        # Loop time from which a guard that drains refuses new work.
-        self._refuses_after_s: float | None = None
+        # Loop times from which new work is refused. That the server leaves says
+        # nothing of the node, nor the other way round: what takes one back must
+        # not take back both.
+        self._server_leaves_s = math.inf
+        self._node_drains_s = math.inf
 
     @property
     def draining(self) -> bool:
         """Whether it is leaving."""
-        return self._refuses_after_s is not None
+        return min(self._server_leaves_s, self._node_drains_s) < math.inf
 
     @property
     def takes_work(self) -> bool:
@@ -75,32 +79,33 @@
         self.announcement = announcement
         self.stalls.announced(time.monotonic())
         if announcement.draining:
-            self.drain()
-        elif before is not None and before.draining:
-            self._refuses_after_s = None
+            self.server_leaves()
+        elif before is None or _takes_back(announcement, before):
+            self._server_leaves_s = math.inf
 
     def withdraw(self) -> None:
         """Notes that the backend server has gone silent."""
         self.announcement = None
 
+    def server_leaves(self) -> None:
+        """Takes no new work for this start of the server, after a grace."""
+        leaves_s = time.monotonic() + self._rules.drain_grace_s
+        self._server_leaves_s = min(self._server_leaves_s, leaves_s)
+
     def drain(self, grace_s: float | None = None) -> None:
-        """Takes no new work from now on, after a short grace.
+        """Takes no new work at this node from now on, after a short grace.
 
         Args:
             grace_s: The grace; by default that of the rules.
         """
         if grace_s is None:
             grace_s = self._rules.drain_grace_s
-        refuses_after_s = time.monotonic() + grace_s
-        if self._refuses_after_s is not None:
-            refuses_after_s = min(refuses_after_s, self._refuses_after_s)
-        self._refuses_after_s = refuses_after_s
+        drains_s = time.monotonic() + grace_s
+        self._node_drains_s = min(self._node_drains_s, drains_s)
 
     def resume(self) -> None:
         """Takes work again after an operator's drain was taken back."""
-        announced = self.announcement
-        if announced is None or not announced.draining:
-            self._refuses_after_s = None
+        self._node_drains_s = math.inf
 
     def reason_to_refuse(self, service: str) -> outcomes.Reason | None:
         """Returns why a call is not taken, whatever slots are free.
@@ -113,9 +118,18 @@
             return outcomes.Reason.NO_BACKEND
         if announced.service != service:
             return outcomes.Reason.NO_SUCH_SERVICE
-        refuses_after_s = self._refuses_after_s
-        if refuses_after_s is not None and time.monotonic() >= refuses_after_s:
+        refuses_s = min(self._server_leaves_s, self._node_drains_s)
+        if time.monotonic() >= refuses_s:
             return outcomes.Reason.DRAINING
         if self.stalls.stalled:
             return outcomes.Reason.UNREACHABLE
         return None
+
+
+def _takes_back(
+    announcement: backend_lib.Announcement, before: backend_lib.Announcement
+) -> bool:
+    """Whether an announcement shows that the server no longer leaves."""
+    began_anew = announcement.start != before.start
+    began_anew = began_anew or announcement.state == "cold"
+    return began_anew or before.draining
--- a/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import time
+from collections.abc import Callable
 
 from burdockfront import incarnations
 from burdockfront import rate_limits
@@ -26,11 +27,13 @@
     Attributes:
         report: What that start said last.
         rate: Holds the limit that it names.
+        on_leaving: Called with each start that is found to leave.
     """
 
     def __init__(self, recorder: timeline.Recorder):
         self.report = self_reports.SelfReport(incarnations.NAMELESS)
         self.rate = rate_limits.RateLimit()
+        self.on_leaving: Callable[[incarnations.Start], None] = _nobody_cares
         self._recorder = recorder
         self._unreadable = ""
         # Whether any answer of this start has come to this process.
@@ -87,15 +90,25 @@
             self._told[report.start] = report
             if len(self._told) > _MOST_TOLD:
                 self._told.popitem(last=False)
+            if report.leaving:
+                self.on_leaving(report.start)
             return
-        if self._answered or report.limit_per_s is None:
-            return
-        if self.rate.per_s is None:
+        believed = self.report
+        if report.leaving:
+            # Never taken back, so it holds whatever an answer said before.
+            believed = dataclasses.replace(believed, leaving=True)
+        if self._takes_limit(report):
+            assert report.limit_per_s is not None
             self.rate.hold(report.limit_per_s, time.monotonic())
             believed = dataclasses.replace(
-                self.report, limit_per_s=report.limit_per_s
+                believed, limit_per_s=report.limit_per_s
             )
-            self._believe(believed, "told")
+        self._believe(believed, "told")
+
+    def _takes_limit(self, report: self_reports.SelfReport) -> bool:
+        """Whether nothing newer is known than what another node remembers."""
+        known = self._answered or self.rate.per_s is not None
+        return report.limit_per_s is not None and not known
 
     def report_to(
         self, told: self_reports.SelfReport | None
@@ -107,6 +120,9 @@
         """
         if told is None and self.report.is_plain:
             return None
+        if self.report.start == incarnations.NAMELESS:
+            # Remembered elsewhere, it would keep the next start out as well.
+            return dataclasses.replace(self.report, leaving=False)
         return self.report
 
     def _believe(self, report: self_reports.SelfReport, source: str) -> None:
@@ -128,6 +144,7 @@
                 instance=report.start.instance_id,
                 source=source,
             )
+            self.on_leaving(report.start)
 
     def _note_unreadable(self, value: str) -> None:
         if value == self._unreadable:
@@ -140,3 +157,7 @@
             value=value[:40],
             limit_per_s=self.report.limit_per_s,
         )
+
+
+def _nobody_cares(start: incarnations.Start) -> None:
+    """Stands in until the guard listens."""
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
@@ -73,6 +73,11 @@
         else:
             self._record("backend.left", instance_id, -1)
 
+    def said_leaving(self, start: incarnations_lib.Start) -> None:
+        """Takes that a start said on an answer that it leaves."""
+        if self._incarnations.leave_start(start):
+            self._announce()
+
     def _knows(self, service: str) -> bool:
         """Whether a service is this VM's own, or one that operators named."""
         return service == self._service or self._book.names(service)
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -13,6 +13,7 @@
 
 from burdockfront import admission
 from burdockfront import context as context_lib
+from burdockfront import incarnations
 from burdockfront import ledger as ledger_lib
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
@@ -80,6 +81,9 @@
         lineage: lineage_lib.Lineage | None = None,
         quarantine: quarantine_lib.Quarantine | None = None,
     ):
+        # Told of each start of the server that is found to leave.
+        self.on_server_leaving: Callable[[incarnations.Start], None]
+        self.on_server_leaving = _nobody_else_cares
         self._lineage = lineage
         self._quarantine = quarantine or quarantine_lib.alone(recorder)
         self._rules = rules or availability_lib.GuardRules()
@@ -93,6 +97,7 @@
         self._counters = GuardCounters()
         self._dispatcher = dispatcher
         self.beliefs = backend_beliefs.BackendBeliefs(recorder)
+        self.beliefs.on_leaving = self._server_leaves
         self._runs = backend_runs.BackendRuns(
             handover
             or handover_lib.PlainHandover(
@@ -193,6 +198,13 @@
         """Notes that the backend server has gone silent."""
         self._availability.withdraw()
 
+    def _server_leaves(self, start: incarnations.Start) -> None:
+        """Takes that a start of the server said on an answer that it leaves."""
+        announced = self.announcement
+        if announced is not None and start.may_be(announced.start):
+            self._availability.server_leaves()
+        self.on_server_leaving(start)
+
     def drain(self, grace_s: float | None = None) -> None:
         """Takes no new work from now on, after a short grace.
 
@@ -391,5 +403,9 @@
         return level if answer.level is None else min(level, answer.level)
 
 
+def _nobody_else_cares(start: incarnations.Start) -> None:
+    """Where announcements are all that is known of a server."""
+
+
 def _not_run(reason: outcomes.Reason) -> outcomes.Answer:
     return outcomes.not_run(reason, admission.RETRY_AFTER_S)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -248,6 +248,7 @@
             self._place.service,
             self._book,
         )
+        self._guard.on_server_leaving = heartbeats.said_leaving
         self._first_look = first_look_lib.FirstLook(
             self._place.service,
             self._settings.data_center,
--- a/packages/burdockfront/src/burdockfront/incarnations.py
+++ b/packages/burdockfront/src/burdockfront/incarnations.py
@@ -137,10 +137,7 @@
         """
         current = self._current
         if current is not None and current.instance_id == instance_id:
-            known = self._find(start_of(current))
-            if known is not None:
-                known.leaving = True
-            self._current = dataclasses.replace(current, leaving=True)
+            self._leave_current(current)
             return True
         latest = self._latest(instance_id)
         if latest is None:
@@ -150,6 +147,29 @@
         latest.leaving = True
         return False
 
+    def leave_start(self, start: Start) -> bool:
+        """Notes that a start is found to leave, whatever its heartbeats say.
+
+        Returns:
+            Whether it is the one in service.
+        """
+        current = self._current
+        if current is not None and start.may_be(start_of(current)):
+            self._leave_current(current)
+            return True
+        known = self._find(start)
+        if known is None:
+            known = self._known[start] = _Known(0)
+            self._trim()
+        known.leaving = True
+        return False
+
+    def _leave_current(self, current: Heartbeat) -> None:
+        known = self._find(start_of(current))
+        if known is not None:
+            known.leaving = True
+        self._current = dataclasses.replace(current, leaving=True)
+
     def not_there(self, instance_id: str) -> None:
         """Notes that another incarnation answered in place of this one."""
         current = self._current
--- a/tests/unit/test_routed_guard.py
+++ b/tests/unit/test_routed_guard.py
@@ -4,9 +4,11 @@
 import dataclasses
 import time
 
+from burdockfront import incarnations
 from burdockfront import ledger
 from burdockfront import outcomes
 from burdockfront import policy
+from burdockfront import self_reports
 from burdockfront import timeline
 from burdockfront_client import attempts
 from burdockfront_client import calls
@@ -190,3 +192,33 @@
         assert not world.backend.handed
 
     asyncio.run(scenario())
+
+
+def test_node_that_stops_takes_no_work_for_a_server_that_was_replaced():
+    # A server leaves and its successor comes while the node is being stopped:
+    # that the server is back does not take back that the node goes.
+    async def scenario() -> None:
+        world = _world(slots=4)
+        announced = {"service": "fees", "address": "127.0.0.1:9", "slots": 4}
+        leaving = {**announced, "state": "draining"}
+        world.guard.announce(backend.parse_announcement(leaving))
+        world.guard.drain()
+        world.guard.announce(backend.parse_announcement(announced))
+        answer = await world.guard.handle(world.confirmation("late"))
+        assert answer.reason is outcomes.Reason.DRAINING
+        assert not world.backend.handed
+
+    asyncio.run(scenario())
+
+
+def test_operator_who_takes_a_drain_back_does_not_bring_a_leaving_server_work():
+    async def scenario() -> None:
+        world = _world(slots=4)
+        world.guard.drain()
+        said = self_reports.Said(leaving=True)
+        world.guard.beliefs.answered(said, incarnations.NAMELESS, 0.0)
+        world.guard.resume()
+        answer = await world.guard.handle(world.confirmation("late"))
+        assert answer.reason is outcomes.Reason.DRAINING
+
+    asyncio.run(scenario())
