Routers stay away from a guard that refused for its server's limit

A limited server has its slots free, so routers would choose its guard each time and be refused (a relay, deadline and bytes between data centres each); and a listing would ask all guards of a service where all servers are limited. A refusal says how long to stay away. Routers return spread. Where all servers of a service are limited new listings are refused at once (limited, 503, Retry-After as for pressure), also where the service lies below the one asked; confirmations and paid calls still go there, and the guard gives them the next token. A limited guard's level is not told: its slots are idle, and the average of the service's levels would open for it.

Weighed: shares per router by the number of nodes (under one request a second each, while demand differs), news of limits with members (late, bytes for all).

--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -258,6 +258,7 @@
             now_s,
             class_name=class_name,
             limit_s=_limit_s(call, now_s),
+            insists=call.context.rank == 0 or call.context.depth > 0,
         )
         if target is None and progress.lost:
             # All were tried; a lost answer may be asked for once more.
@@ -290,11 +291,26 @@
         level = self.book.level_of(call.service, context.class_name, now_s)
         return context.priority > level + levels.ENTRY_SLACK
 
+    def is_limited_below(self, class_name: str) -> bool:
+        """Whether a service that requests of a class lead to has no room.
+
+        All its servers have named limits, and refused what went beyond.
+        """
+        now_s = time.monotonic()
+        return any(
+            self.router.limited_s(service, now_s) is not None
+            for service in self.book.services_below(class_name, now_s)
+        )
+
     def _no_target(
         self, call: calls.Call, progress: verdicts.Progress
     ) -> outcomes.Answer:
         if progress.refusal is not None:
             return progress.refusal
+        limited_s = self.router.limited_s(call.service, time.monotonic())
+        if limited_s is not None:
+            self.counters.early_refusals += 1
+            return outcomes.not_run(outcomes.Reason.LIMITED, limited_s)
         known = self.router.targets_of(call.service)
         reason = outcomes.Reason.NO_SUCH_SERVICE
         if known or call.context.depth > 0:
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -289,6 +289,10 @@
                 or answer.reason is outcomes.Reason.REJECTED
             )
             self._reports.heard(target.node_id, answer.report, from_server)
+            if answer.report.limit_per_s is None:
+                self._router.unlimited(target.node_id)
+        if answer.reason is outcomes.Reason.LIMITED:
+            self._note_limited(target, answer, now_s)
         if answer.level is not None:
             self._book.hear(
                 call.service,
@@ -323,6 +327,21 @@
                 call.service, target.node_id, class_name, elapsed_s, now_s
             )
 
+    def _note_limited(
+        self, target: guards.Target, answer: outcomes.Answer, now_s: float
+    ) -> None:
+        """Stays away from a guard that refused for a limit of its server."""
+        away_s = answer.retry_after_s or 0.0
+        report = answer.report
+        if self._router.limited(target.node_id, away_s, now_s):
+            self._recorder.record(
+                time.time(),
+                "router.limited",
+                target=target.node_id,
+                limit_per_s=report.limit_per_s if report else None,
+                away_s=round(away_s, 3),
+            )
+
     def _overdue(self, node_id: str) -> None:
         if self._router.overdue(node_id, time.monotonic()):
             self._record_ejection(node_id)
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
@@ -16,6 +16,8 @@
     "request's priority: the backend servers of this service are saturated",
     "overload-deeper": "a deeper service on the path is saturated, so the "
     "request was refused before any work was spent on it",
+    "limited": "the backend servers of this service name limits of their own, "
+    "and had no room for it in time; 'show limits' tells them",
     "deadline": "its deadline could not be met",
     "draining": "the backend server is leaving",
     "no-backend": "no backend server announces itself there",
--- a/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
@@ -27,12 +27,14 @@
     Attributes:
         report: What that start said last.
         rate: Holds the limit that it names.
+        is_plain: It said nothing out of the ordinary, and has answered.
         on_leaving: Called with each start that is found to leave.
     """
 
     def __init__(self, recorder: timeline.Recorder):
         self.report = self_reports.SelfReport(incarnations.NAMELESS)
         self.rate = rate_limits.RateLimit()
+        self.is_plain = False
         self.on_leaving: Callable[[incarnations.Start], None] = _nobody_cares
         self._recorder = recorder
         self._unreadable = ""
@@ -66,9 +68,6 @@
             start: Which start gave it.
             handed_s: When its request was handed over.
         """
-        if said is self_reports.NOTHING and self.report.is_plain:
-            self._answered = self._answered or start.may_be(self.report.start)
-            return
         if not start.may_be(self.report.start):
             return
         self._answered = True
@@ -128,6 +127,7 @@
     def _believe(self, report: self_reports.SelfReport, source: str) -> None:
         before = self.report
         self.report = report
+        self.is_plain = self._answered and report.is_plain
         if report.limit_per_s != before.limit_per_s:
             self._recorder.record(
                 time.time(),
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -6,6 +6,7 @@
 from burdockfront import admission
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
+from burdockfront import self_reports
 from burdockfront import timeline
 from burdockfront_client import calls
 from burdockfront_node import availability as availability_lib
@@ -28,6 +29,10 @@
         recorder: Where events go.
         beliefs: Learns what the server says of itself.
         refusals_lower_slots: See `availability.GuardRules`.
+
+    Attributes:
+        gate: Gave the slots; None until a backend server announced itself.
+        handed_over: Attempts so far.
     """
 
     def __init__(
@@ -41,6 +46,8 @@
         beliefs: backend_beliefs.BackendBeliefs,
         refusals_lower_slots: bool,
     ):
+        self.gate: gate_lib.Gate | None = None
+        self.handed_over = 0
         self._handover = handover
         self._availability = availability
         self._quarantine = quarantine
@@ -51,16 +58,18 @@
         self._refusals_lower_slots = refusals_lower_slots
 
     async def run(
-        self, gate: gate_lib.Gate, attempt: calls.Attempt, nonce: str | None
+        self, attempt: calls.Attempt, nonce: str | None
     ) -> outcomes.Answer:
         """Hands an attempt over, and gives its slot back afterwards.
 
         Args:
-            gate: Gave the slot.
             attempt: What to run.
             nonce: Idempotency key of what must not repeat.
         """
+        gate = self.gate
+        assert gate is not None, "it gave the slot"
         started_s = time.monotonic()
+        self.handed_over += 1
         self._note_begin(attempt, started_s)
         answer: outcomes.Answer | None = None
         try:
@@ -117,8 +126,12 @@
         answer = await self._handover.run(
             announced, attempt, nonce, limit_bytes
         )
-        if answer.said is not None:
-            self._beliefs.answered(answer.said, announced.start, started_s)
+        said = answer.said
+        if said is None:
+            return answer
+        # Nearly always there is nothing to learn.
+        if said is not self_reports.NOTHING or not self._beliefs.is_plain:
+            self._beliefs.answered(said, announced.start, started_s)
         return answer
 
     def _note_end(
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -18,6 +18,7 @@
 _PRESSURE = frozenset(
     [
         outcomes.Reason.OVERLOAD,
+        outcomes.Reason.LIMITED,
         outcomes.Reason.OVERLOAD_DEEPER,
         outcomes.Reason.SHED,
     ]
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -66,7 +66,7 @@
     def full(self) -> bool:
         """Whether the next call waits."""
         now_s = time.monotonic()
-        if self._rate.wait_s(1, now_s) > 0.0:
+        if self._rate.per_s is not None and self._rate.wait_s(1, now_s) > 0.0:
             return True
         return self._admission.in_use >= self._limit.current(now_s)
 
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -41,7 +41,6 @@
 class GuardCounters:
     """What a guard did, for metrics."""
 
-    handed_over: int = 0
     refused: int = 0
     unknown: int = 0
 
@@ -90,10 +89,6 @@
         self._availability = availability_lib.Availability(ready, self._rules)
         self.node_id = node_id
         self.ledger = ledger
-        steps = ticket_runs.Steps(
-            self._admit, self._hand_over, self._successor, self._give_back
-        )
-        self.tickets = ticket_runs.TicketRuns(ledger, steps, wall_s)
         self._counters = GuardCounters()
         self._dispatcher = dispatcher
         self.beliefs = backend_beliefs.BackendBeliefs(recorder)
@@ -111,6 +106,10 @@
             self.beliefs,
             self._rules.refusals_lower_slots,
         )
+        steps = ticket_runs.Steps(
+            self._admit, self._runs.run, self._successor, self._give_back
+        )
+        self.tickets = ticket_runs.TicketRuns(ledger, steps, wall_s)
         self._policy_of = policy_of
         self._recorder = recorder
         self._gate: gate_lib.Gate | None = None
@@ -151,6 +150,7 @@
     def counters(self) -> dict[str, int]:
         """Returns what was done since the start."""
         return {
+            "handed_over": self._runs.handed_over,
             **dataclasses.asdict(self._counters),
             "backend_crashes": self._quarantine.watch.crashes,
             "replayed": self.tickets.replayed,
@@ -174,6 +174,7 @@
             self._gate = gate_lib.Gate(
                 announcement, self._policy_of, self.beliefs.rate
             )
+            self._runs.gate = self._gate
         turned_cold = announcement.state == "cold" and (
             before is None or before.state != "cold"
         )
@@ -272,7 +273,7 @@
         refusal = await self._admit(attempt)
         if refusal is not None:
             return refusal
-        return await self._hand_over(attempt, None)
+        return await self._runs.run(attempt, None)
 
     async def _admit(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Waits for a slot; returns a refusal, or None with a slot."""
@@ -311,13 +312,17 @@
         return None
 
     def _would_die(self, context: context_lib.RequestContext) -> bool:
-        """Whether a new request is above the level of a deeper service."""
+        """Whether a new request would find no room at a deeper service."""
         if context.depth > 0:
             return False
-        path_level = self._dispatcher.book.path_level(
-            context.class_name, time.monotonic()
-        )
-        return context.priority > path_level
+        now_s = time.monotonic()
+        path_level = self._dispatcher.book.path_level(context.class_name, now_s)
+        if context.priority > path_level:
+            return True
+        # What matters most is let through at limits as well.
+        if context.rank == 0 or self._dispatcher.router.all_open(now_s):
+            return False
+        return self._dispatcher.is_limited_below(context.class_name)
 
     def _give_back(self, attempt: calls.Attempt) -> None:
         """Gives back a slot that was not used."""
@@ -334,14 +339,6 @@
             return None
         return tickets.encode(ticket, self._dispatcher.sender.keys)
 
-    async def _hand_over(
-        self, attempt: calls.Attempt, nonce: str | None
-    ) -> outcomes.Answer:
-        """Hands an attempt over, and gives its slot back afterwards."""
-        assert self._gate is not None
-        self._counters.handed_over += 1
-        return await self._runs.run(self._gate, attempt, nonce)
-
     def _refused(
         self,
         attempt: calls.Attempt,
@@ -377,7 +374,9 @@
             self._counters.unknown += 1
         context = attempt.context
         answer.level = self._told_level(context, answer)
-        answer.report = self.beliefs.report_to(attempt.told)
+        answer.report = None
+        if attempt.told is not None or not self.beliefs.is_plain:
+            answer.report = self.beliefs.report_to(attempt.told)
         answer.load = self.load()
         answer.draining = not self.takes_work or self.announcement is None
         answer.inner = context.depth > 0
@@ -392,9 +391,11 @@
         """Returns the lowest level here and below.
 
         None while nothing is taken: routers would take the level of a frozen
-        or leaving server for that of its whole service.
+        or leaving server for that of its whole service, and that of a limited
+        one, whose slots are idle, for room.
         """
-        if not self.takes_work:
+        limited = answer.reason is outcomes.Reason.LIMITED
+        if limited or not self.takes_work:
             return None
         path_level = self._dispatcher.book.path_level(
             context.class_name, time.monotonic()
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -23,6 +23,7 @@
 _NO_ROOM = frozenset(
     [
         outcomes.Reason.OVERLOAD,
+        outcomes.Reason.LIMITED,
         outcomes.Reason.SHED,
         outcomes.Reason.OVERLOAD_DEEPER,
         outcomes.Reason.DEADLINE,
--- a/packages/burdockfront/src/burdockfront/admission_queue.py
+++ b/packages/burdockfront/src/burdockfront/admission_queue.py
@@ -82,7 +82,8 @@
         if context.remaining_s <= 0.0:
             return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
         patience_s = self._patience_s(context)
-        if self._token_wait_s(context, now_s) > patience_s:
+        limited = self._rate.per_s is not None
+        if limited and self._token_wait_s(context, now_s) > patience_s:
             return Step(refused=(Refusal(item_id, self._limited()),))
         self._count_admitted(context)
         waiting = _Waiting(
@@ -167,8 +168,6 @@
         self, context: context_lib.RequestContext, now_s: float
     ) -> float:
         """Returns how long a request would wait for the server's own limit."""
-        if self._rate.per_s is None:
-            return 0.0
         order = self._order(context)
         ahead = sum(w.order <= order for w in self._by_id.values())
         return self._rate.wait_s(ahead + 1, now_s)
@@ -188,17 +187,18 @@
         started = []
         self._count_busy(now_s)
         limit = self._limit.current(now_s)
+        limited = self._rate.per_s is not None
         while self._heap and self.in_use < limit:
             _, _, waiting = self._heap[0]
             if waiting.gone:
                 heapq.heappop(self._heap)
                 continue
-            if not self._rate.take(now_s):
+            if limited and not self._rate.take(now_s):
                 break
             heapq.heappop(self._heap)
             del self._by_id[waiting.item_id]
             self.in_use += 1
-            if self._rate.per_s is None:
+            if not limited:
                 self._waited(now_s - waiting.arrived_s)
             started.append(waiting.item_id)
         return tuple(started)
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -23,6 +23,11 @@
 _KEPT_SHARE = 0.5
 _LOAD_FADES_S = 1.0
 _DRAIN_BELIEVED_S = 5.0
+# Routers that were refused in one moment return spread over so much of the time
+# that they were told.
+_AWAY_SPREAD = (0.5, 1.5)
+# Refused again sooner than this, it is still the same limit.
+_SAME_LIMIT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +66,7 @@
     pause_s: float = _FIRST_PAUSE_S
     probe_at_s: float = 0.0
     drained_at_s: float = -1e9
+    limited_until_s: float = -1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,12 +76,15 @@
     Attributes:
         near: Those of our own data centre.
         far: All others.
+        limited: Those that refused for a limit of their backend servers, and
+            are not to be asked again yet.
         due: An ejected one that is to be probed now.
         until_s: When it must be looked at anew, if nothing changes before.
     """
 
     near: list[Target]
     far: list[Target]
+    limited: list[Target]
     due: Target | None
     until_s: float
 
@@ -94,6 +103,8 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
         self._views: dict[str, View] = {}
+        # Until then some guard is not to be asked for a limit.
+        self._limited_until_s = -math.inf
 
     def update(self, targets: Iterable[Target]) -> None:
         """Takes the backend servers that membership knows now."""
@@ -179,6 +190,54 @@
             state.drained_at_s = now_s
             self._views.clear()
 
+    def limited(self, node_id: str, away_s: float, now_s: float) -> bool:
+        """Learns that a guard refused for a limit of its backend server.
+
+        Args:
+            node_id: The guard.
+            away_s: How long it says to stay away.
+            now_s: The current time.
+
+        Returns:
+            Whether that is news.
+        """
+        state = self._states.get(node_id)
+        if state is None:
+            return False
+        fresh = now_s > state.limited_until_s + _SAME_LIMIT_S
+        spread = self._rng.uniform(*_AWAY_SPREAD)
+        state.limited_until_s = now_s + away_s * spread
+        self._limited_until_s = max(
+            self._limited_until_s, state.limited_until_s
+        )
+        self._views.clear()
+        return fresh
+
+    def unlimited(self, node_id: str) -> None:
+        """Learns that the limit of a guard's backend server has ended."""
+        state = self._states.get(node_id)
+        if state is not None and state.limited_until_s > 0.0:
+            state.limited_until_s = -1e9
+            self._views.clear()
+
+    def all_open(self, now_s: float) -> bool:
+        """Whether no guard at all is kept from being asked by a limit."""
+        return now_s >= self._limited_until_s
+
+    def limited_s(self, service: str, now_s: float) -> float | None:
+        """Returns when there may be room at a service again.
+
+        None unless all its guards that could be asked refuse for limits.
+        """
+        view = self.view(service, frozenset(), now_s)
+        if view.near or view.far or not view.limited:
+            return None
+        until_s = [self._until_limited_s(t) for t in view.limited]
+        return max(0.0, min(until_s) - now_s)
+
+    def _until_limited_s(self, target: Target) -> float:
+        return self._states[target.node_id].limited_until_s
+
     def unanswered(self, node_id: str, unreachable: bool, now_s: float) -> bool:
         """Learns that a call got no answer.
 
@@ -244,6 +303,7 @@
 
     def _look(self, service: str, tried: frozenset[str], now_s: float) -> View:
         open_targets = []
+        limited = []
         due = None
         until_s = math.inf
         for target in self._targets.get(service, {}).values():
@@ -254,6 +314,10 @@
             if now_s <= believed_s:
                 until_s = min(until_s, believed_s)
                 continue
+            if now_s < state.limited_until_s:
+                until_s = min(until_s, state.limited_until_s)
+                limited.append(target)
+                continue
             open_targets.append(target)
             if not state.ejected:
                 continue
@@ -265,7 +329,7 @@
         usable = self._with_floor(open_targets, usable)
         near = [t for t in usable if t.data_center == self._data_center]
         far = [t for t in usable if t.data_center != self._data_center]
-        return View(near, far, due, until_s)
+        return View(near, far, limited, due, until_s)
 
     def _with_floor(
         self, targets: list[Target], usable: list[Target]
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -60,6 +60,7 @@
         probe: bool = True,
         class_name: str = "",
         limit_s: float = math.inf,
+        insists: bool = True,
     ) -> guards.Target | None:
         """Returns the guard for a call, or None when there is none left.
 
@@ -71,13 +72,17 @@
                 back. Not for tickets, which tie a confirmation to it.
             class_name: Class of the request, to know how long it takes.
             limit_s: After this the answer is of little value.
+            insists: Whether it goes to a guard that refused for a limit, if
+                there is no other: what matters most there goes first.
         """
         view = self.view(service, tried, now_s)
         if probe and view.due is not None:
             self.begin_probe(view.due, now_s)
             return view.due
         if not view.near and not view.far:
-            return None
+            if not insists or not view.limited:
+                return None
+            return min(view.limited, key=self._until_limited_s)
         return self._nearest_unless_late(
             service, class_name, limit_s, view, now_s
         )
