The product's own interface names limits and leaving too; operators see them

The same two statements as on the platform, by one implementation: answers bear Burdockfront-Limit and Burdockfront-Leaving, announcements limit_per_s and an instance that tells one start from the next (BACKENDS.md). There an answer without a limit says nothing, since an announcement twice a second may name it; null ends it.

--- a/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
@@ -1,7 +1,7 @@
 """The language: a grammar, and one data class per kind of command.
 
 show members | show nodes | show policy SERVICE | show levels
-show quarantine
+show quarantine | show limits
 show accounts
 why request ID | why class NAME at SERVICE | why node NAME
 timeline [request ID] [node NAME] [dc NAME] [kind KIND] [last N]
@@ -27,6 +27,7 @@
     | "show" "nodes" -> show_nodes
     | "show" "levels" -> show_levels
     | "show" "quarantine" -> show_quarantine
+    | "show" "limits" -> show_limits
     | "show" "accounts" -> show_accounts
     | "show" "policy" WORD -> show_policy
 why: "why" "request" WORD -> why_request
@@ -160,6 +161,9 @@
     def show_accounts(self, _: Any) -> Show:
         return Show("accounts")
 
+    def show_limits(self, _: Any) -> Show:
+        return Show("limits")
+
     def show_quarantine(self, _: Any) -> Show:
         return Show("quarantine")
 
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/questions.py
@@ -7,6 +7,7 @@
 from burdockfront import timeline
 from burdockfront_ctl import accounts as accounts_lib
 from burdockfront_ctl import language
+from burdockfront_ctl import limits as limits_lib
 from burdockfront_ctl import nodes as nodes_lib
 from burdockfront_ctl import render
 
@@ -49,6 +50,8 @@
             return await _levels(nodes)
         case "quarantine":
             return await _quarantine(nodes)
+        case "limits":
+            return await limits_lib.show(nodes)
         case "accounts":
             return await accounts_lib.show(nodes)
         case _:
--- a/packages/burdockfront-node/src/burdockfront_node/backend.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend.py
@@ -17,6 +17,7 @@
 from burdockfront import errors
 from burdockfront import incarnations
 from burdockfront import policy
+from burdockfront import self_reports
 
 SILENT_AFTER_S = 3.0
 
@@ -32,6 +33,10 @@
     )
     load: float = 0.0
     embedded: bool = False
+    instance: str = pydantic.Field(default="", max_length=64)
+    limit_per_s: float | None = pydantic.Field(
+        default=None, ge=0.0, allow_inf_nan=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +51,7 @@
         load: Its own report, shown to operators only.
         embedded: It routes its deeper calls itself, with the library.
         start: Which start of it this is, as far as it tells.
+        said: Whether it names a limit; None if it says nothing about that.
     """
 
     service: str
@@ -55,6 +61,7 @@
     load: float
     embedded: bool
     start: incarnations.Start = incarnations.NAMELESS
+    said: self_reports.Said | None = None
 
     @property
     def draining(self) -> bool:
@@ -75,4 +82,16 @@
         raise errors.InvalidInputError(
             f"{text} See docs/BACKENDS.md."
         ) from None
-    return Announcement(**model.model_dump())
+    said = None
+    if "limit_per_s" in model.model_fields_set:
+        said = self_reports.Said(limit_per_s=model.limit_per_s)
+    return Announcement(
+        service=model.service,
+        address=model.address,
+        slots=model.slots,
+        state=model.state,
+        load=model.load,
+        embedded=model.embedded,
+        start=incarnations.Start(model.instance),
+        said=said,
+    )
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -42,6 +42,7 @@
     """What a guard did, for metrics."""
 
     refused: int = 0
+    limited: int = 0
     unknown: int = 0
 
 
@@ -169,6 +170,10 @@
         """Takes an announcement of the backend server."""
         before = self.announcement
         self.beliefs.in_service(announcement.start)
+        if announcement.said is not None:
+            self.beliefs.answered(
+                announcement.said, announcement.start, time.monotonic()
+            )
         self._availability.announce(announcement)
         if self._gate is None:
             self._gate = gate_lib.Gate(
@@ -346,6 +351,8 @@
         waited_s: float,
     ) -> outcomes.Answer:
         self._counters.refused += 1
+        if refusal.reason is outcomes.Reason.LIMITED:
+            self._counters.limited += 1
         context = attempt.context
         backend_runs.record(
             self._recorder,
@@ -360,6 +367,7 @@
             new_work=context.depth == 0,
             in_flight=self.in_flight,
             slots=self.slots,
+            limit_per_s=self.beliefs.report.limit_per_s,
             waited_s=round(waited_s, 4),
             remaining_s=round(context.remaining_s, 3),
         )
--- a/packages/burdockfront-node/src/burdockfront_node/handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -9,12 +9,15 @@
 from burdockfront import errors
 from burdockfront import keyring as keyring_lib
 from burdockfront import outcomes
+from burdockfront import self_reports
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
 from burdockfront_client import peers as peers_lib
 from burdockfront_client import wire
 from burdockfront_node import backend as backend_lib
 
+_IS_LEAVING = "1"
+
 
 class Handover(Protocol):
     """The way from a guard to its backend server."""
@@ -122,10 +125,13 @@
         return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
     if announced.embedded:
         unspent = int(reply.header(wire.UNSPENT) or 0)
+    said = _said_by(reply)
     if reply.header(wire.OUTCOME) == outcomes.Outcome.NOT_RUN:
-        return outcomes.not_run(
+        refusal = outcomes.not_run(
             outcomes.Reason.REJECTED, admission.RETRY_AFTER_S, unspent
         )
+        refusal.said = said
+        return refusal
     path_level = reply.header(wire.PATH_LEVEL)
     return outcomes.Answer(
         outcome=outcomes.Outcome.DONE,
@@ -134,4 +140,18 @@
         body=reply.body,
         unspent=unspent,
         level=int(path_level) if path_level else None,
+        said=said,
     )
+
+
+def _said_by(reply: peers_lib.Reply) -> self_reports.Said | None:
+    """Returns what a backend server says of itself on an answer.
+
+    None if it says nothing there; its announcements may.
+    """
+    limit = reply.header(wire.LIMIT)
+    leaving = reply.header(wire.LEAVING) == _IS_LEAVING
+    if limit is None and not leaving:
+        return None
+    said = self_reports.limit_from([] if limit is None else [limit])
+    return dataclasses.replace(said, leaving=leaving)
--- a/tests/unit/test_guard.py
+++ b/tests/unit/test_guard.py
@@ -3,7 +3,10 @@
 import asyncio
 import time
 
+import pytest
+
 from burdockfront import allowance
+from burdockfront import errors
 from burdockfront import ledger
 from burdockfront import outcomes
 from burdockfront import policy
@@ -13,6 +16,7 @@
 from burdockfront_node import backend
 from burdockfront_node import guard as guard_lib
 from tests import builders
+from tests import scripted_server
 
 
 def _a_guard(ready: asyncio.Event) -> guard_lib.Guard:
@@ -64,3 +68,62 @@
         assert guard.takes_work
 
     asyncio.run(scenario())
+
+
+def _announced(address: str, **changes: object) -> backend.Announcement:
+    fields = {"service": "fees", "address": address, "slots": 4}
+    return backend.parse_announcement({**fields, **changes})
+
+
+def _a_ready_guard() -> guard_lib.Guard:
+    ready = asyncio.Event()
+    ready.set()
+    return _a_guard(ready)
+
+
+def _reply(*headers: str) -> scripted_server.Step:
+    lines = ["HTTP/1.1 200 OK", "content-length: 2", *headers, "", "ok"]
+    return scripted_server.Step("\r\n".join(lines).encode())
+
+
+def test_server_of_the_products_own_interface_names_limit_on_its_answers():
+    async def scenario() -> None:
+        steps = (
+            _reply("Burdockfront-Limit: 2"),
+            _reply(),
+            _reply("Burdockfront-Leaving: 1"),
+        )
+        async with scripted_server.serving(*steps) as server:
+            guard = _a_ready_guard()
+            announced = _announced(server.address, instance="i-1")
+            guard.announce(announced)
+            await guard.handle(_an_attempt())
+            assert guard.beliefs.report.limit_per_s == 2.0
+            refused = await guard.handle(_an_attempt())
+            assert refused.reason is outcomes.Reason.LIMITED
+            guard.announce(announced)
+            assert guard.beliefs.report.limit_per_s == 2.0, "nothing was said"
+            ended = _announced(server.address, instance="i-1", limit_per_s=None)
+            guard.announce(ended)
+            assert guard.beliefs.report.limit_per_s is None
+            await guard.handle(_an_attempt())
+            await guard.handle(_an_attempt())
+            assert guard.draining, "it said so on an answer"
+            guard.announce(announced)
+            assert guard.draining, "its heartbeat does not take that back"
+            guard.announce(_announced(server.address, instance="i-2"))
+            assert not guard.draining, "another start of it"
+
+    asyncio.run(scenario())
+
+
+def test_announcement_names_a_limit_before_any_answer():
+    guard = _a_ready_guard()
+    guard.announce(_announced("127.0.0.1:9", limit_per_s=0.5))
+    assert guard.beliefs.report.limit_per_s == 0.5
+
+
+@pytest.mark.parametrize("limit", [-1, "many", float("nan"), float("inf")])
+def test_announced_limit_that_is_no_number_is_refused_with_its_path(limit):
+    with pytest.raises(errors.InvalidInputError, match="limit_per_s"):
+        _announced("127.0.0.1:9", limit_per_s=limit)
--- a/tests/unit/test_language.py
+++ b/tests/unit/test_language.py
@@ -33,6 +33,7 @@
         ),
         ("drain fees-1", language.Drain("fees-1", True)),
         ("show quarantine", language.Show("quarantine")),
+        ("show limits", language.Show("limits")),
         (
             "release 0123456789abcdef",
             language.Release("0123456789abcdef"),
