A node that starts takes a limit off its first question to the server

A guard that begins anew asks its server once whether it is there; what that answer says of a limit holds at once.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/first_look.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/first_look.py
@@ -11,11 +11,14 @@
 """
 
 import logging
+import time
 
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import routes as routes_lib
+from burdockfront import self_reports
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import pool as pool_lib
+from burdockfront_node import backend_beliefs
 from burdockfront_node import surroundings
 from burdockfront_node.controllers import heartbeats as heartbeats_lib
 from burdockfront_node.controllers import route_watch as route_watch_lib
@@ -42,6 +45,7 @@
         route_watch: Tells when the table is known.
         incarnations: Which incarnation is in service.
         heartbeats: Takes what was found out.
+        beliefs: Takes what the server says of itself besides.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         route_watch: route_watch_lib.RouteWatch,
         incarnations: incarnations_lib.Incarnations,
         heartbeats: heartbeats_lib.Heartbeats,
+        beliefs: backend_beliefs.BackendBeliefs,
     ):
         self._service = service
         self._data_center = data_center
@@ -63,6 +68,7 @@
         self._route_watch = route_watch
         self._incarnations = incarnations
         self._heartbeats = heartbeats
+        self._beliefs = beliefs
 
     async def look(self) -> None:
         """Asks once; whatever goes wrong, the heartbeats will tell."""
@@ -70,6 +76,7 @@
         path = self._book.health_path(self._service)
         if not path or self._incarnations.current is not None:
             return
+        asked_s = time.monotonic()
         health = await self._ask(path)
         # A heartbeat that came meanwhile knows better.
         if health is None or self._incarnations.current is not None:
@@ -86,6 +93,10 @@
                 sequence=_BEFORE_ANY_HEARTBEAT,
             )
         )
+        if health.said is not self_reports.NOTHING:
+            # That it says nothing here does not show that it names no limit.
+            start = incarnations_lib.Start(health.instance_id)
+            self._beliefs.answered(health.said, start, asked_s)
 
     async def _ask(self, path: str) -> surroundings.Health | None:
         request = connection_lib.encode_request(
