Limits of a whole service lower its level; the model of a site has servers that name them

Only paid calls and confirmations count for that level: where some servers of a service are limited, routers send to the others, and one limited server must not close its service. It travels and shrinks like any other level, so the first form of this (a question to the router whether all guards are limited, one layer deep) is gone.

A belief that was held without the birth of its start passed to the next start under the same id (test failed before); a limit that can't be read no longer hides that the server leaves.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
@@ -57,6 +57,24 @@
     )
 
 
+@CASES.register("limit")
+def limit() -> Troubles:
+    """Half of the servers of a service name limits; all nodes begin anew."""
+    return (
+        sheet_lib.Trouble("limit", 2.0, 10.0, 5.0, 0.5, "timetable"),
+        sheet_lib.Trouble("anew", 7.0, 0.0),
+    )
+
+
+@CASES.register("limit-all")
+def limit_all() -> Troubles:
+    """All servers of the deepest service name limits, beside a burst."""
+    return (
+        sheet_lib.Trouble("burst", 2.0, 10.0, 1.4),
+        sheet_lib.Trouble("limit", 3.0, 9.0, 40.0, service="fees"),
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
     """What one kind of admission came to in one case.
@@ -68,6 +86,7 @@
         spread: Deviation over the seeds.
         useful: Share of the used slot time that went into good answers.
         served: Share of requests that were served, by kind.
+        over_limit: Servers that got more than they had named, in all seeds.
     """
 
     admission: str
@@ -76,6 +95,7 @@
     spread: float
     useful: float
     served: dict[str, float]
+    over_limit: int
 
 
 def measure(admission: str, case: str, seeds: int) -> Row:
@@ -98,6 +118,7 @@
         statistics.pstdev(worth),
         statistics.mean(result.useful for result in results),
         _served(results),
+        sum(result.over_limit for result in results),
     )
 
 
@@ -119,7 +140,8 @@
             row = measure(admission, case, seeds)
             print(
                 f"{row.case:6} {row.admission:6} worth {row.worth:.3f} "
-                f"+-{row.spread:.3f} useful {row.useful:.2f} {row.served}",
+                f"+-{row.spread:.3f} useful {row.useful:.2f} {row.served} "
+                f"over limit {row.over_limit}",
                 flush=True,
             )
 
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
@@ -22,8 +22,12 @@
         tallies: By kind of request.
         worth: Value of the answers, as a share of what all could have had.
         useful: Share of the used slot time that went into good answers.
+        over_limit: Servers that got more than they had named.
+        after_leaving: Requests for servers that had said that they leave.
     """
 
     tallies: dict[str, Tally]
     worth: float
     useful: float
+    over_limit: int = 0
+    after_leaving: int = 0
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/servers.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/servers.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from burdockfront import outcomes
+from burdockfront import self_reports
 from burdockfront_bench.site_model import sheet as sheet_lib
+from burdockfront_bench.site_model import terms as terms_lib
 from burdockfront_client import calls
 from burdockfront_node import backend
 
@@ -32,6 +35,7 @@
         classes: Kinds of requests, by name.
         rng: Source of randomness.
         struck: Tells of troubles.
+        terms: Hears what reached it, and what it named.
     """
 
     def __init__(
@@ -41,17 +45,20 @@
         classes: dict[str, sheet_lib.RequestClass],
         rng: random.Random,
         struck: Struck,
+        terms: terms_lib.TermsLog,
     ):
         self._service = service
         self._speed = speed
         self._classes = classes
         self._rng = rng
         self._struck = struck
+        self._terms = terms
         self._in_use = 0
         self.send_call: SendCall | None = None
         # Slot time used, for requests that were answered well and others.
         self.useful_s = 0.0
         self.wasted_s = 0.0
+        self.arrivals = 0
 
     async def run(
         self,
@@ -61,6 +68,13 @@
         limit_bytes: int,
     ) -> outcomes.Answer:
         """Works on a request, and makes its calls."""
+        self.arrivals += 1
+        now_s = time.monotonic()
+        self._terms.arrived(
+            terms_lib.Arrival(
+                announced.address, attempt.context.attempt_id, now_s
+            )
+        )
         for trouble in self._struck("shed"):
             if self._rng.random() < trouble.x:
                 return outcomes.not_run(outcomes.Reason.REJECTED, _RETRY_S)
@@ -80,7 +94,21 @@
                 self.useful_s += spent_s
             else:
                 self.wasted_s += spent_s
-        return outcomes.Answer(outcomes.Outcome.DONE, status)
+        answer = outcomes.Answer(outcomes.Outcome.DONE, status)
+        answer.said = self._say()
+        limit_per_s = answer.said.limit_per_s
+        if limit_per_s is None:
+            self._terms.named_none(announced.address)
+        else:
+            self._terms.named(announced.address, limit_per_s, time.monotonic())
+        return answer
+
+    def _say(self) -> self_reports.Said:
+        """Returns what it says of itself on an answer now."""
+        limits = [trouble.x for trouble in self._struck("limit")]
+        return self_reports.Said(
+            bool(self._struck("leave")), min(limits, default=None)
+        )
 
     async def _work(self, attempt: calls.Attempt) -> int:
         request_class = self._classes[attempt.context.class_name]
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/sheet.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/sheet.py
@@ -76,10 +76,13 @@
 
     Attributes:
         kind: `burst` (of all callers), `slow`, `shed` (servers refuse a part
-            of what they get) or `lost` (nodes and servers are gone).
+            of what they get), `lost` (nodes and servers are gone), `limit`
+            (servers name on their answers how much they take), `leave` (they
+            say there that they leave) or `anew` (the processes of nodes are
+            replaced, at the beginning).
         at_s: From the start of traffic.
         for_s: How long.
-        x: Factor, or the part that is refused.
+        x: Factor, or the part that is refused, or requests a second.
         share: Of the servers that it strikes.
         service: Whose; empty: all.
     """
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
@@ -16,6 +16,7 @@
 from burdockfront_bench.site_model import results
 from burdockfront_bench.site_model import servers as servers_lib
 from burdockfront_bench.site_model import sheet as sheet_lib
+from burdockfront_bench.site_model import terms as terms_lib
 from burdockfront_client import calls
 from burdockfront_client import peers
 
@@ -53,6 +54,7 @@
             results.Tally
         )
         self._nodes: dict[str, nodes_lib.ModelNode] = {}
+        self._terms = terms_lib.TermsLog()
         self._earned = 0.0
         self._owed = 0.0
         self._began_s = 0.0
@@ -62,7 +64,7 @@
         self._began_s = time.monotonic()
         self._build()
         ticking = [
-            asyncio.create_task(node.guard.tick_forever())
+            asyncio.create_task(self._tick_forever(node))
             for node in self._nodes.values()
         ]
         coming = [
@@ -81,8 +83,28 @@
             dict(self._tallies),
             self._earned / max(1e-9, self._owed),
             useful_s / max(1e-9, used_s),
+            len(self._terms.over_limit()),
+            self._terms.after_leaving,
         )
 
+    async def _tick_forever(self, node: nodes_lib.ModelNode) -> None:
+        """Runs the guard of a node, and replaces its process when it is due."""
+        for trouble in self._troubles:
+            if trouble.kind != "anew" or not self._is_struck(node, trouble):
+                continue
+            left_s = self._began_s + trouble.at_s - time.monotonic()
+            try:
+                async with asyncio.timeout(max(0.0, left_s)):
+                    await node.guard.tick_forever()
+            except TimeoutError:
+                node.begin_anew()
+        await node.guard.tick_forever()
+
+    def _is_struck(
+        self, node: nodes_lib.ModelNode, trouble: sheet_lib.Trouble
+    ) -> bool:
+        return trouble.service in ("", node.place.service.name)
+
     # ---- building ---------------------------------------------------------
 
     def _build(self) -> None:
@@ -97,6 +119,7 @@
                 random.Random(self._rng.getrandbits(64)),
                 self._carry,
                 _SLACK / 2 / len(places),
+                self._terms,
             )
         for node in self._nodes.values():
             node.dispatcher.router.update(place.target() for place in places)
@@ -125,7 +148,12 @@
             return self._struck(kind, place.service.name, luck)
 
         return servers_lib.ModelServer(
-            place.service, place.speed, self._classes, rng, struck
+            place.service,
+            place.speed,
+            self._classes,
+            rng,
+            struck,
+            self._terms,
         )
 
     def _struck(
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -12,6 +12,7 @@
 from burdockfront import guards
 from burdockfront import keyring as keyring_lib
 from burdockfront import levels
+from burdockfront import limit_level
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import routing
@@ -258,7 +259,7 @@
             now_s,
             class_name=class_name,
             limit_s=_limit_s(call, now_s),
-            insists=call.context.rank == 0 or call.context.depth > 0,
+            insists=limit_level.insists(call.context),
         )
         if target is None and progress.lost:
             # All were tried; a lost answer may be asked for once more.
@@ -291,17 +292,6 @@
         level = self.book.level_of(call.service, context.class_name, now_s)
         return context.priority > level + levels.ENTRY_SLACK
 
-    def is_limited_below(self, class_name: str) -> bool:
-        """Whether a service that requests of a class lead to has no room.
-
-        All its servers have named limits, and refused what went beyond.
-        """
-        now_s = time.monotonic()
-        return any(
-            self.router.limited_s(service, now_s) is not None
-            for service in self.book.services_below(class_name, now_s)
-        )
-
     def _no_target(
         self, call: calls.Call, progress: verdicts.Progress
     ) -> outcomes.Answer:
--- a/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
@@ -48,6 +48,9 @@
     def in_service(self, start: incarnations.Start) -> None:
         """Notes which start is in service; another one has said nothing yet."""
         if start.may_be(self.report.start):
+            if start.born_ms is not None:
+                # Known now, it tells the next start of this id from this one.
+                self.report = dataclasses.replace(self.report, start=start)
             return
         self._answered = False
         self.rate.begin_anew()
@@ -73,8 +76,8 @@
         self._answered = True
         if said.unreadable:
             self._note_unreadable(said.unreadable)
-            return
-        self.rate.answered(said.limit_per_s, handed_s, time.monotonic())
+        else:
+            self.rate.answered(said.limit_per_s, handed_s, time.monotonic())
         leaving = said.leaving or self.report.leaving
         self._believe(
             self_reports.SelfReport(start, leaving, self.rate.per_s), "answer"
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -15,6 +15,7 @@
 from burdockfront import context as context_lib
 from burdockfront import incarnations
 from burdockfront import ledger as ledger_lib
+from burdockfront import levels
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import tickets
@@ -317,17 +318,13 @@
         return None
 
     def _would_die(self, context: context_lib.RequestContext) -> bool:
-        """Whether a new request would find no room at a deeper service."""
+        """Whether a new request is above the level of a deeper service."""
         if context.depth > 0:
             return False
-        now_s = time.monotonic()
-        path_level = self._dispatcher.book.path_level(context.class_name, now_s)
-        if context.priority > path_level:
-            return True
-        # What matters most is let through at limits as well.
-        if context.rank == 0 or self._dispatcher.router.all_open(now_s):
-            return False
-        return self._dispatcher.is_limited_below(context.class_name)
+        path_level = self._dispatcher.book.path_level(
+            context.class_name, time.monotonic()
+        )
+        return context.priority > path_level
 
     def _give_back(self, attempt: calls.Attempt) -> None:
         """Gives back a slot that was not used."""
@@ -402,14 +399,16 @@
         or leaving server for that of its whole service, and that of a limited
         one, whose slots are idle, for room.
         """
-        limited = answer.reason is outcomes.Reason.LIMITED
-        if limited or not self.takes_work:
+        if not self.takes_work:
             return None
         path_level = self._dispatcher.book.path_level(
             context.class_name, time.monotonic()
         )
         level = min(self.level(), path_level)
-        return level if answer.level is None else min(level, answer.level)
+        if answer.level is not None:
+            level = min(level, answer.level)
+        limited = answer.reason is outcomes.Reason.LIMITED
+        return None if limited and level >= levels.OPEN else level
 
 
 def _nobody_else_cares(start: incarnations.Start) -> None:
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -16,6 +16,7 @@
 from burdockfront import context as context_lib
 from burdockfront import flow_level
 from burdockfront import levels
+from burdockfront import limit_level
 from burdockfront import limits
 from burdockfront import policy
 from burdockfront import rate_limits
@@ -84,10 +85,12 @@
         self._control = levels.LevelControl(
             admission_policy.queue_s * _TARGET_SHARE, _WINDOW_S, now_s
         )
+        self._limit_level = limit_level.LimitLevel(rate)
 
     def advance(self, now_s: float) -> admission_queue.Step:
         """Also sets the level at the end of each window."""
         step = super().advance(now_s)
+        self._limit_level.advance(now_s)
         if self._control.over(now_s):
             slots = self._limit.current(now_s)
             self._control.advance(self._busy_share(now_s), slots, now_s)
@@ -95,7 +98,7 @@
 
     def level(self) -> int:
         """Returns the highest admitted priority number."""
-        return self._control.level
+        return min(self._control.level, self._limit_level.level)
 
     def busy(self) -> float:
         """Returns the share of slots in use, smoothed over windows."""
@@ -128,7 +131,10 @@
 
     def _above_level(self, context: context_lib.RequestContext) -> bool:
         # Calls from upper layers are paid for: only the queue refuses them.
-        return context.depth == 0 and context.priority > self._control.level
+        return context.depth == 0 and context.priority > self.level()
+
+    def _count_offered(self, context: context_lib.RequestContext) -> None:
+        self._limit_level.arrived(context)
 
     def _count_admitted(self, context: context_lib.RequestContext) -> None:
         self._control.admitted(context.priority)
@@ -158,13 +164,14 @@
     def advance(self, now_s: float) -> admission_queue.Step:
         """Also sets the level at the end of each window."""
         step = admission_queue.QueueAdmission.advance(self, now_s)
+        self._limit_level.advance(now_s)
         if self._flow.over(now_s):
             self._flow.advance(self._limit.current(now_s), now_s)
         return step
 
     def level(self) -> int:
         """Returns the highest admitted priority number."""
-        return self._flow.level
+        return min(self._flow.level, self._limit_level.level)
 
     def busy(self) -> float:
         """Returns the share of the slots that is spoken for."""
@@ -176,9 +183,6 @@
         learned_s = before_s + _SERVICE_TIME_WEIGHT * (service_s - before_s)
         self._work_s[class_name] = learned_s
 
-    def _above_level(self, context: context_lib.RequestContext) -> bool:
-        return context.depth == 0 and context.priority > self._flow.level
-
     def _count_admitted(self, context: context_lib.RequestContext) -> None:
         work_s = self._work_s.get(context.class_name, self._service_s)
         self._flow.arrived(context.priority, work_s)
--- a/packages/burdockfront/src/burdockfront/admission_queue.py
+++ b/packages/burdockfront/src/burdockfront/admission_queue.py
@@ -82,9 +82,10 @@
         if context.remaining_s <= 0.0:
             return self._refuse_new(item_id, outcomes.Reason.DEADLINE)
         patience_s = self._patience_s(context)
-        limited = self._rate.per_s is not None
-        if limited and self._token_wait_s(context, now_s) > patience_s:
-            return Step(refused=(Refusal(item_id, self._limited()),))
+        if self._rate.per_s is not None:
+            self._count_offered(context)
+            if self._token_wait_s(context, now_s) > patience_s:
+                return Step(refused=(Refusal(item_id, self._limited()),))
         self._count_admitted(context)
         waiting = _Waiting(
             item_id,
@@ -155,6 +156,9 @@
     def _above_level(self, context: context_lib.RequestContext) -> bool:
         return False
 
+    def _count_offered(self, context: context_lib.RequestContext) -> None:
+        """Notes a request that came while the server names a limit."""
+
     def _count_admitted(self, context: context_lib.RequestContext) -> None:
         pass
 
--- a/packages/burdockfront/src/burdockfront/flow_level.py
+++ b/packages/burdockfront/src/burdockfront/flow_level.py
@@ -110,7 +110,7 @@
         """Whether the window is over and `advance` is due."""
         return now_s - self._begin_s >= self._window_s
 
-    def advance(self, slots: int, now_s: float) -> None:
+    def advance(self, slots: float, now_s: float) -> None:
         """Closes the window and sets the level.
 
         Args:
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -103,8 +103,6 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
         self._views: dict[str, View] = {}
-        # Until then some guard is not to be asked for a limit.
-        self._limited_until_s = -math.inf
 
     def update(self, targets: Iterable[Target]) -> None:
         """Takes the backend servers that membership knows now."""
@@ -207,9 +205,6 @@
         fresh = now_s > state.limited_until_s + _SAME_LIMIT_S
         spread = self._rng.uniform(*_AWAY_SPREAD)
         state.limited_until_s = now_s + away_s * spread
-        self._limited_until_s = max(
-            self._limited_until_s, state.limited_until_s
-        )
         self._views.clear()
         return fresh
 
@@ -220,10 +215,6 @@
             state.limited_until_s = -1e9
             self._views.clear()
 
-    def all_open(self, now_s: float) -> bool:
-        """Whether no guard at all is kept from being asked by a limit."""
-        return now_s >= self._limited_until_s
-
     def limited_s(self, service: str, now_s: float) -> float | None:
         """Returns when there may be room at a service again.
 
@@ -232,11 +223,11 @@
         view = self.view(service, frozenset(), now_s)
         if view.near or view.far or not view.limited:
             return None
-        until_s = [self._until_limited_s(t) for t in view.limited]
-        return max(0.0, min(until_s) - now_s)
-
-    def _until_limited_s(self, target: Target) -> float:
-        return self._states[target.node_id].limited_until_s
+        until_s = min(
+            self._states[target.node_id].limited_until_s
+            for target in view.limited
+        )
+        return max(0.0, until_s - now_s)
 
     def unanswered(self, node_id: str, unreachable: bool, now_s: float) -> bool:
         """Learns that a call got no answer.
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -240,14 +240,6 @@
                 level = min(level, self.level_of(service, called_class, now_s))
         return level
 
-    def services_below(self, class_name: str, now_s: float) -> set[str]:
-        """Returns the services that requests of a class lead to."""
-        return {
-            service
-            for (name, service, _), at_s in self._called.items()
-            if name == class_name and now_s - at_s < _KEEP_S
-        }
-
     def forget(self, now_s: float) -> None:
         """Drops what is too old to matter."""
         self._heard = {
--- a/packages/burdockfront/src/burdockfront/rate_limits.py
+++ b/packages/burdockfront/src/burdockfront/rate_limits.py
@@ -93,7 +93,12 @@
         if self.per_s is None:
             return 0.0
         self._fill(now_s)
-        return max(0.0, (count - self._tokens) / self._rate_per_s())
+        return max(0.0, (count - self._tokens) / self.rate_per_s())
+
+    def rate_per_s(self) -> float:
+        """Returns what is let through while a limit is named."""
+        assert self.per_s is not None, "a limit is named"
+        return max(_LEAST_PER_S, self.per_s)
 
     def refuse(self) -> float:
         """Notes a refusal, and returns how long its sender should stay away."""
@@ -103,15 +108,11 @@
     def _fill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
-        filled = self._tokens + elapsed_s * self._rate_per_s()
+        filled = self._tokens + elapsed_s * self.rate_per_s()
         self._tokens = min(self._depth(), filled)
 
     def _depth(self) -> float:
-        return max(1.0, self._rate_per_s() * _BURST_S)
-
-    def _rate_per_s(self) -> float:
-        assert self.per_s is not None, "a limit is named"
-        return max(_LEAST_PER_S, self.per_s)
+        return max(1.0, self.rate_per_s() * _BURST_S)
 
     def _least_away_s(self) -> float:
-        return min(_LONGEST_AWAY_S, 1.0 / self._rate_per_s())
+        return min(_LONGEST_AWAY_S, 1.0 / self.rate_per_s())
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -82,7 +82,8 @@
         if not view.near and not view.far:
             if not insists or not view.limited:
                 return None
-            return min(view.limited, key=self._until_limited_s)
+            # The one that opens first would get all of them.
+            return self._rng.choice(view.limited)
         return self._nearest_unless_late(
             service, class_name, limit_s, view, now_s
         )
--- a/tests/unit/test_backend_beliefs.py
+++ b/tests/unit/test_backend_beliefs.py
@@ -38,6 +38,9 @@
         beliefs.answered(self_reports.Said(unreadable="many"), _START, 0.0)
     assert beliefs.report.limit_per_s == 6.5
     assert _kinds(recorder) == ["backend.limit", "backend.limit-unreadable"]
+    both = self_reports.Said(leaving=True, unreadable="many")
+    beliefs.answered(both, _START, 0.0)
+    assert beliefs.report.leaving
 
 
 def test_next_start_of_a_backend_server_has_said_nothing_yet():
@@ -48,3 +51,15 @@
     assert beliefs.report.is_plain
     beliefs.answered(said, _START, 0.0)
     assert beliefs.report.is_plain, "a late answer of the start before"
+
+
+def test_later_start_under_the_same_id_has_said_nothing_yet():
+    # The node heard of the first one without its birth, by a health check.
+    beliefs, _ = _beliefs()
+    said = self_reports.Said(leaving=True, limit_per_s=6.5)
+    beliefs.answered(said, _START, 0.0)
+    beliefs.in_service(incarnations.Start("i-1", 17))
+    assert beliefs.report.leaving
+    beliefs.in_service(incarnations.Start("i-1", 18))
+    assert beliefs.report.is_plain
+    assert beliefs.rate.per_s is None
--- a/tests/unit/test_site_model.py
+++ b/tests/unit/test_site_model.py
@@ -59,3 +59,32 @@
     )
     result = site.run(sheet.evening(), 2, _LENGTH_S, troubles=troubles)
     assert _served(result, "confirm") > _served(result, "browse")
+
+
+def test_limits_hold_over_all_nodes_while_their_processes_are_replaced():
+    """Pattern: servers in need, and all nodes begin anew three times."""
+    named = sheet.Trouble("limit", 1.0, 8.0, 5.0, 0.6, "timetable")
+    anew = [sheet.Trouble("anew", at_s, 0.0) for at_s in (4.0, 5.0, 5.5)]
+    for seed in (1, 2):
+        result = site.run(sheet.evening(), seed, 8.0, troubles=(named, *anew))
+        assert result.over_limit == 0
+
+
+def test_servers_that_leave_by_their_answers_get_nothing_more():
+    """Pattern: some of each service leave; their nodes begin anew."""
+    troubles = (
+        sheet.Trouble("leave", 1.0, 9.0, share=0.3),
+        sheet.Trouble("anew", 4.0, 0.0),
+    )
+    result = site.run(sheet.evening(), 2, 7.0, troubles=troubles)
+    assert result.after_leaving == 0
+
+
+def test_confirmations_go_first_where_a_whole_service_is_limited():
+    """Pattern: the service below all confirmations and listings is in need."""
+    named = sheet.Trouble("limit", 1.0, 9.0, 8.0, service="timetable")
+    result = site.run(sheet.evening(), 1, 6.0, troubles=(named,))
+    assert result.over_limit == 0
+    assert _served(result, "confirm") > _served(result, "browse")
+    listings = result.tallies["browse"]
+    assert listings.refused > listings.failed, "refused before they run"
