What routers learn from answers is a module of its own; a start keeps its birth

A comment that promised one refused call in six however many routers there are says now what the model of many routers shows.

--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -1,7 +1,6 @@
-"""One attempt: sends it to a guard and learns from what comes back."""
+"""One attempt: sends it to a guard, and tells the outcome."""
 
 import asyncio
-import collections
 import itertools
 import secrets
 import time
@@ -15,31 +14,18 @@
 from burdockfront import levels
 from burdockfront import outcomes
 from burdockfront import routing
-from burdockfront import self_reports
 from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import call_link
 from burdockfront_client import calls
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import feedback as feedback_lib
 from burdockfront_client import peers as peers_lib
 from burdockfront_client import wire
 
 # A guard gets a little less time than we wait, so that its own answer about
 # an expired deadline still reaches us.
 _ANSWER_MARGIN_S = 0.02
-_SERVER_ERROR = 500
-# Of the backend server, not of the load.
-_FAULTS = frozenset(
-    [
-        outcomes.Reason.REJECTED,
-        outcomes.Reason.UNREACHABLE,
-        outcomes.Reason.LOST_ANSWER,
-    ]
-)
-_TIMEOUT_STATUS = 504
-# Heads of a call and of its answer, about.
-_HEADS_BYTES = 600
-_BYTES_PER_KB = 1000.0
 
 LocalGuard = Callable[[calls.Attempt], Awaitable[outcomes.Answer]]
 # Brings an attempt to a guard: the attempt, the guard, how long its answer is
@@ -81,19 +67,16 @@
         self.keys = keys
         self.local_guard: LocalGuard | None = None
         self.transport: Transport = self._over_network
-        # Bytes to and from other data centres, by service and class.
-        self.far_bytes: collections.Counter[str] = collections.Counter()
+        self.feedback = feedback_lib.Feedback(router, book, recorder, counters)
         self._margin_s = 0.0 if waits_longer else _ANSWER_MARGIN_S
         self._node_id = node_id
         self._router = router
-        self._book = book
         self._recorder = recorder
         self._counters = counters
         # A restarted process counts anew, beside attempts of its predecessor
         # that still wait somewhere. The id goes to and fro with each call, so
         # it is short: of a thousand processes two have the same prefix once in
         # ten thousand times, and then only equal ids at one guard would meet.
-        self._reports = self_reports.HeardReports()
         self._prefix = f"{secrets.token_hex(4)}."
         self._sequence = itertools.count(1)
 
@@ -123,8 +106,9 @@
         """
         started_s = time.monotonic()
         attempt = self._attempt_of(call, ticket, timeout_s)
-        if target.node_id in self._reports.by_node:
-            attempt.told = self._reports.by_node[target.node_id]
+        heard = self.feedback.reports.by_node
+        if target.node_id in heard:
+            attempt.told = heard[target.node_id]
         attempt_id = attempt.context.attempt_id
         self._counters.attempts += 1
         self._router.sent(target.node_id)
@@ -155,20 +139,9 @@
                 alarm.cancel()
         call.pool.give_back(attempt_id, answer.unspent)
         now_s = time.monotonic()
-        self._learn(call, target, answer, now_s - started_s, now_s)
-        if self._router.is_far(target):
-            self._note_way(call, answer)
+        self.feedback.learn(call, target, answer, now_s - started_s, now_s)
         return calls.Sent(calls.Fate.ANSWERED, answer)
 
-    def _note_way(self, call: calls.Call, answer: outcomes.Answer) -> None:
-        """Counts what a call to another data centre moved."""
-        way_kb = _kb_of(call, answer)
-        answer.far_kb += way_kb
-        way_bytes = round(way_kb * _BYTES_PER_KB)
-        self._counters.far_calls += 1
-        self._counters.far_bytes += way_bytes
-        self.far_bytes[f"{call.service} {call.context.class_name}"] += way_bytes
-
     def _attempt_of(
         self,
         call: calls.Call,
@@ -268,80 +241,6 @@
                 return context_lib.encode(context, self.keys, reference)
         return context_lib.encode(context, self.keys)
 
-    def _learn(
-        self,
-        call: calls.Call,
-        target: guards.Target,
-        answer: outcomes.Answer,
-        elapsed_s: float,
-        now_s: float,
-    ) -> None:
-        self._learn_pace(call, target, answer, elapsed_s, now_s)
-        self._router.answered(
-            target.node_id, answer.load, answer.draining, now_s
-        )
-        self._router.ways.heard(
-            target.node_id, call.context.class_name, answer.far_kb, now_s
-        )
-        if answer.report is not None:
-            from_server = (
-                answer.outcome is outcomes.Outcome.DONE
-                or answer.reason is outcomes.Reason.REJECTED
-            )
-            self._reports.heard(target.node_id, answer.report, from_server)
-            if answer.report.limit_per_s is None:
-                self._router.unlimited(target.node_id)
-        if answer.reason is outcomes.Reason.LIMITED:
-            self._note_limited(target, answer, now_s)
-        if answer.level is not None:
-            self._book.hear(
-                call.service,
-                call.context.class_name,
-                answer.level,
-                now_s,
-            )
-
-    def _learn_pace(
-        self,
-        call: calls.Call,
-        target: guards.Target,
-        answer: outcomes.Answer,
-        elapsed_s: float,
-        now_s: float,
-    ) -> None:
-        pace = self._router.pace
-        if answer.reason in _FAULTS:
-            pace.failed(target.node_id, now_s)
-        class_name = call.context.class_name
-        timed_out = (
-            answer.reason is outcomes.Reason.DEADLINE
-            and answer.outcome is outcomes.Outcome.UNKNOWN
-        )
-        if timed_out or answer.status == _TIMEOUT_STATUS:
-            pace.late(call.service, target.node_id, class_name, elapsed_s)
-        if answer.outcome is not outcomes.Outcome.DONE:
-            return
-        pace.moved(call.service, class_name, _kb_of(call, answer))
-        if answer.status < _SERVER_ERROR:
-            pace.answered(
-                call.service, target.node_id, class_name, elapsed_s, now_s
-            )
-
-    def _note_limited(
-        self, target: guards.Target, answer: outcomes.Answer, now_s: float
-    ) -> None:
-        """Stays away from a guard that refused for a limit of its server."""
-        away_s = answer.retry_after_s or 0.0
-        report = answer.report
-        if self._router.limited(target.node_id, away_s, now_s):
-            self._recorder.record(
-                time.time(),
-                "router.limited",
-                target=target.node_id,
-                limit_per_s=report.limit_per_s if report else None,
-                away_s=round(away_s, 3),
-            )
-
     def _overdue(self, node_id: str) -> None:
         if self._router.overdue(node_id, time.monotonic()):
             self._record_ejection(node_id)
@@ -364,9 +263,3 @@
         )
         if ejected:
             self._record_ejection(target.node_id)
-
-
-def _kb_of(call: calls.Call, answer: outcomes.Answer) -> float:
-    """Returns the kilobytes that a call and its answer have, about."""
-    size_bytes = _HEADS_BYTES + len(call.body) + len(answer.body)
-    return size_bytes / _BYTES_PER_KB
--- a/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_beliefs.py
@@ -35,7 +35,7 @@
         self.report = self_reports.SelfReport(incarnations.NAMELESS)
         self.rate = rate_limits.RateLimit()
         self.is_plain = False
-        self.on_leaving: Callable[[incarnations.Start], None] = _nobody_cares
+        self.on_leaving: Callable[[incarnations.Start], None] = _ignore
         self._recorder = recorder
         self._unreadable = ""
         # Whether any answer of this start has come to this process.
@@ -78,10 +78,12 @@
             self._note_unreadable(said.unreadable)
         else:
             self.rate.answered(said.limit_per_s, handed_s, time.monotonic())
-        leaving = said.leaving or self.report.leaving
-        self._believe(
-            self_reports.SelfReport(start, leaving, self.rate.per_s), "answer"
+        believed = dataclasses.replace(
+            self.report,
+            leaving=said.leaving or self.report.leaving,
+            limit_per_s=self.rate.per_s,
         )
+        self._believe(believed, "answer")
 
     def told(self, report: self_reports.SelfReport) -> None:
         """Takes what another node remembers, or a question to the server told.
@@ -162,5 +164,5 @@
         )
 
 
-def _nobody_cares(start: incarnations.Start) -> None:
+def _ignore(start: incarnations.Start) -> None:
     """Stands in until the guard listens."""
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/housekeeping.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/housekeeping.py
@@ -55,7 +55,7 @@
 
     def _tell_ways(self) -> None:
         """Logs what was sent to other data centres since the last time."""
-        moved = self._dispatcher.sender.far_bytes
+        moved = self._dispatcher.sender.feedback.far_bytes
         if not moved:
             return
         self._recorder.record(
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -84,7 +84,7 @@
     ):
         # Told of each start of the server that is found to leave.
         self.on_server_leaving: Callable[[incarnations.Start], None]
-        self.on_server_leaving = _nobody_else_cares
+        self.on_server_leaving = _ignore
         self._lineage = lineage
         self._quarantine = quarantine or quarantine_lib.alone(recorder)
         self._rules = rules or availability_lib.GuardRules()
@@ -411,7 +411,7 @@
         return None if limited and level >= levels.OPEN else level
 
 
-def _nobody_else_cares(start: incarnations.Start) -> None:
+def _ignore(start: incarnations.Start) -> None:
     """Where announcements are all that is known of a server."""
 
 
--- a/packages/burdockfront/src/burdockfront/rate_limits.py
+++ b/packages/burdockfront/src/burdockfront/rate_limits.py
@@ -18,11 +18,12 @@
 # What was not used lately may go out at once.
 _BURST_S = 0.5
 # Who was refused stays away for a time. It grows with each refusal and shrinks
-# with each request that is let through, so that about one call in six is
-# refused, however many routers there are.
+# with each request that is let through: in balance one call in six is refused,
+# without knowing how many routers there are.
 _GROWS = 1.1
 _SHRINKS = 0.98
-# A limit that has ended is to be noticed by all within seconds.
+# A limit that has ended is to be noticed by all within seconds. Where routers
+# are many, each of them is refused about once in this time.
 _LONGEST_AWAY_S = 5.0
 
 
--- a/tests/unit/test_backend_beliefs.py
+++ b/tests/unit/test_backend_beliefs.py
@@ -59,6 +59,7 @@
     said = self_reports.Said(leaving=True, limit_per_s=6.5)
     beliefs.answered(said, _START, 0.0)
     beliefs.in_service(incarnations.Start("i-1", 17))
+    beliefs.answered(said, _START, 0.0)
     assert beliefs.report.leaving
     beliefs.in_service(incarnations.Start("i-1", 18))
     assert beliefs.report.is_plain
