--- a/features/worlds.py
+++ b/features/worlds.py
@@ -22,6 +22,7 @@
 
 PATIENCE_S = 30.0
 _STEP_TIMEOUT_S = 120.0
+_ROUTERS_FOLLOW_S = 0.5
 
 
 def services() -> list[cluster_lib.Service]:
@@ -262,6 +263,8 @@
             lambda other=other: not world.routes_to(other, name),
             f"{other} no longer routes to {name}",
         )
+    # Members are what is seen; routers follow them a moment later.
+    time.sleep(_ROUTERS_FOLLOW_S)
 
 
 def _holds_now(holds: Callable[[], bool]) -> bool:
