--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import math
 from collections.abc import Iterable
 
 import orjson
@@ -57,6 +58,11 @@
 _INTERNAL_PREFIX = "burdockfront-"
 _CACHED_NAMES = 1024
 _PARTS_WITHOUT_REPORT = 14
+_PARTS_WITHOUT_SERVER_STATE = 15
+# Fields of the server state on an answer: the pace of the backend server, and
+# the client accounts above their fair share.
+_PACE = "p"
+_OVER_SHARE = "h"
 _OUTCOMES = {outcome.value: outcome for outcome in outcomes.Outcome}
 
 
@@ -229,11 +235,27 @@
         answer.nested_call,
         round(answer.far_kb, 1),
     ]
+    has_state = answer.pace != 1.0 or answer.over_share
     if answer.report is not None:
         parts.append(answer.report.to_parts())
+    elif has_state:
+        parts.append(None)
+    if has_state:
+        # Nodes of earlier releases do not read this part, so it is sent only
+        # where a server reports its state or accounts compete.
+        parts.append(_server_state_of(answer))
     return orjson.dumps(parts).decode()
 
 
+def _server_state_of(answer: outcomes.Answer) -> dict[str, object]:
+    state: dict[str, object] = {}
+    if answer.pace != 1.0:
+        state[_PACE] = round(answer.pace, 2)
+    if answer.over_share:
+        state[_OVER_SHARE] = answer.over_share
+    return state
+
+
 def is_answer_to(value: str | None, attempt_id: str) -> bool:
     """Whether the answer of a guard belongs to an attempt.
 
@@ -289,11 +311,20 @@
             nested_call=parts[12],
             far_kb=parts[13],
         )
-        if len(parts) > _PARTS_WITHOUT_REPORT:
+        if len(parts) > _PARTS_WITHOUT_REPORT and parts[14] is not None:
             answer.report = self_reports.from_parts(parts[14])
+        if len(parts) > _PARTS_WITHOUT_SERVER_STATE:
+            answer.pace = _positive(parts[15].get(_PACE, 1.0))
+            over_share = parts[15].get(_OVER_SHARE)
+            if over_share is not None:
+                answer.over_share = {
+                    str(tag): _positive(ratio)
+                    for tag, ratio in over_share.items()
+                }
         return answer, parts[10]
     except (
         errors.InvalidInputError,
+        AttributeError,
         LookupError,
         TypeError,
         ValueError,
@@ -304,3 +335,15 @@
             f"expected {ANSWER} header of this release, got {value[:60]!r} "
             f"with {error!r}; all nodes must run compatible releases."
         ) from None
+
+
+def _positive(value: object) -> float:
+    """Returns a positive, finite number of another node's message.
+
+    Raises:
+        ValueError: It is no such number.
+    """
+    number = float(value) if isinstance(value, int | float) else math.nan
+    if not 0.0 < number < math.inf:
+        raise ValueError(f"expected a number above 0, got {value!r}")
+    return number
--- a/packages/burdockfront/src/burdockfront/context.py
+++ b/packages/burdockfront/src/burdockfront/context.py
@@ -38,6 +38,8 @@
         allowance: Retries that this call and all calls below it may use.
         parent: Id of the attempt that made this call, for the timeline.
         repeated: Whether this attempt, or one above it, is a retry.
+        account_tag: Digest of the client account that the request belongs to,
+            for fair shares; empty if there is none.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     allowance: int
     parent: str = ""
     repeated: bool = False
+    account_tag: str = ""
 
     @property
     def priority(self) -> int:
@@ -75,6 +78,7 @@
             allowance,
             self.parent,
             repeated,
+            self.account_tag,
         )
 
     def for_nested_call(
@@ -107,22 +111,23 @@
     """
     if request_id is None:
         request_id = context.request_id
-    payload = keys.pack(
-        orjson.dumps(
-            [
-                request_id,
-                context.attempt_id,
-                context.class_name,
-                context.rank,
-                context.ordinal,
-                context.depth,
-                round(context.remaining_s, 4),
-                context.allowance,
-                context.parent,
-                context.repeated,
-            ]
-        )
-    )
+    parts = [
+        request_id,
+        context.attempt_id,
+        context.class_name,
+        context.rank,
+        context.ordinal,
+        context.depth,
+        round(context.remaining_s, 4),
+        context.allowance,
+        context.parent,
+        context.repeated,
+    ]
+    if context.account_tag:
+        # Nodes of earlier releases do not read this part, so it is sent only
+        # where accounts compete.
+        parts.append(context.account_tag)
+    payload = keys.pack(orjson.dumps(parts))
     return f"{payload.decode()}.{keys.sign(payload)}"
 
 
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -77,7 +77,8 @@
         unspent: Unused retry allowance, returned to the calling side.
         level: Highest priority number that this path admits now.
         moved_to: Successor ticket, when the owner handed the ticket over.
-        queue_s: Time that the request waited for a slot.
+        queue_s: Time that the request, and the calls made for it, waited for
+            slots.
         load: Number of calls in slots or waiting for one, divided by the slots.
         draining: The guard that answered takes no new work.
         starved: The request failed because this service, or one below it, had
@@ -90,6 +91,10 @@
             answer is not the backend server's.
         report: The guard's current view of its backend server's self report;
             None if it has nothing unusual.
+        pace: How long work takes at the backend server now, relative to its
+            usual time; 1.0 if unknown.
+        over_share: Client accounts above their fair share of the service, by
+            tag, with their demand relative to that share.
     """
 
     outcome: Outcome
@@ -109,6 +114,8 @@
     far_kb: float = 0.0
     notice: self_reports.BackendNotice | None = None
     report: self_reports.SelfReport | None = None
+    pace: float = 1.0
+    over_share: dict[str, float] | None = None
 
 
 _STATUS_OF_REASON = {
--- a/tests/unit/test_self_reports.py
+++ b/tests/unit/test_self_reports.py
@@ -2,6 +2,7 @@
 
 import time
 
+import orjson
 import pytest
 
 from burdockfront import errors
@@ -38,6 +39,29 @@
     assert read.report == report
 
 
+@pytest.mark.parametrize("report", [None, _LIMITED])
+def test_server_state_is_encoded_in_answers_with_and_without_a_report(report):
+    answer = builders.an_answer()
+    answer.report = report
+    answer.pace = 2.5
+    answer.over_share = {"4f2a": 3.0}
+    described = wire.encode_answer(answer, "a", 7)
+    read, _ = wire.decode_answer(described, "a", 200, (), b"")
+    assert read.report == report
+    assert read.pace == 2.5
+    assert read.over_share == {"4f2a": 3.0}
+
+
+@pytest.mark.parametrize("pace", ["fast", -1.0, 0, None])
+def test_answer_with_an_invalid_server_state_raises_a_dispatch_error(pace):
+    answer = builders.an_answer()
+    answer.pace = 2.0
+    parts = orjson.loads(wire.encode_answer(answer, "a", 7))
+    parts[-1]["p"] = pace
+    with pytest.raises(errors.DispatchError):
+        wire.decode_answer(orjson.dumps(parts).decode(), "a", 200, (), b"")
+
+
 def test_calls_and_answers_without_a_report_carry_no_extra_fields():
     assert len(wire.encode_call(7, wire.CallMetadata(), "")) < 20
     described = wire.encode_answer(builders.an_answer(), "a", 7)
