Admit by the estimated demand of a scarce deep service

Change: admission kind `demand`. Each request carries the share of its rank that was admitted with it, and whose level that was; the guard divides the work of each call by that share (Horvitz-Thompson), which does not depend on the delay. Waits of deeper calls are told on answers (queue_s) and left out of slot time. Levels of short services are sent with all answers, with their age, and an entry follows the level of the bottleneck of a path. The kind `flow` is unchanged.

--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -88,12 +88,15 @@
                 self._router.clear_limit(target.node_id)
         if answer.reason is outcomes.Reason.LIMITED:
             self._record_limit(target, answer, now_s)
+        if answer.service_levels:
+            self._level_tracker.services.observe(answer.service_levels, now_s)
         if answer.level is not None:
             self._level_tracker.observe(
                 call.service,
                 call.context.class_name,
                 answer.level,
                 now_s,
+                answer.bottleneck,
             )
         if self._router.is_far(target):
             self._record_transfer(call, answer)
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -9,6 +9,7 @@
 import functools
 import math
 from collections.abc import Iterable
+from typing import Any
 
 import orjson
 
@@ -16,6 +17,7 @@
 from burdockfront import errors
 from burdockfront import outcomes
 from burdockfront import self_reports
+from burdockfront import service_levels
 
 # Headers between nodes; short, because every byte and header adds cost.
 CONTEXT = "b-context"
@@ -63,6 +65,9 @@
 # the client accounts above their fair share.
 _PACE = "p"
 _OVER_SHARE = "h"
+# The service whose level the answer has, and the levels of short services.
+_BOTTLENECK = "b"
+_SERVICE_LEVELS = "s"
 _OUTCOMES = {outcome.value: outcome for outcome in outcomes.Outcome}
 
 
@@ -235,7 +240,7 @@
         answer.nested_call,
         round(answer.far_kb, 1),
     ]
-    has_state = answer.pace != 1.0 or answer.over_share
+    has_state = answer.pace != 1.0 or answer.over_share or answer.service_levels
     if answer.report is not None:
         parts.append(answer.report.to_parts())
     elif has_state:
@@ -253,6 +258,12 @@
         state[_PACE] = round(answer.pace, 2)
     if answer.over_share:
         state[_OVER_SHARE] = answer.over_share
+    if answer.service_levels:
+        state[_BOTTLENECK] = answer.bottleneck
+        state[_SERVICE_LEVELS] = [
+            [one.service, one.level, round(one.age_s, 3)]
+            for one in answer.service_levels
+        ]
     return state
 
 
@@ -314,13 +325,7 @@
         if len(parts) > _PARTS_WITHOUT_REPORT and parts[14] is not None:
             answer.report = self_reports.from_parts(parts[14])
         if len(parts) > _PARTS_WITHOUT_SERVER_STATE:
-            answer.pace = _positive(parts[15].get(_PACE, 1.0))
-            over_share = parts[15].get(_OVER_SHARE)
-            if over_share is not None:
-                answer.over_share = {
-                    str(tag): _positive(ratio)
-                    for tag, ratio in over_share.items()
-                }
+            _read_server_state(parts[15], answer)
         return answer, parts[10]
     except (
         errors.InvalidInputError,
@@ -337,6 +342,20 @@
         ) from None
 
 
+def _read_server_state(state: dict[str, Any], answer: outcomes.Answer) -> None:
+    answer.pace = _positive(state.get(_PACE, 1.0))
+    over_share = state.get(_OVER_SHARE)
+    if over_share is not None:
+        answer.over_share = {
+            str(tag): _positive(ratio) for tag, ratio in over_share.items()
+        }
+    answer.bottleneck = str(state.get(_BOTTLENECK, ""))
+    answer.service_levels = [
+        service_levels.ServiceLevel(str(service), int(level), abs(float(age_s)))
+        for service, level, age_s in state.get(_SERVICE_LEVELS, ())
+    ]
+
+
 def _positive(value: object) -> float:
     """Returns a positive, finite number of another node's message.
 
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -82,9 +82,11 @@
             self._quarantine.on_end(attempt, answer)
             served = answer is not None and answer.reason is None
             class_name = attempt.context.class_name if served else ""
-            gate.leave(service_s, class_name)
+            waited_below_s = 0.0
             if self._lineage is not None:
-                self._lineage.on_run_end(attempt)
+                waited_below_s = self._lineage.on_run_end(attempt)
+            gate.leave(service_s, class_name, waited_below_s)
+        answer.queue_s = attempt.waited_s + waited_below_s
         if self._lineage is not None:
             answer = self._lineage.on_run_answer(attempt, started_s, answer)
         if answer.reason is outcomes.Reason.LOST_ANSWER:
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -102,6 +102,8 @@
                 allowance=units,
                 parent=parent.attempt_id,
                 repeated=parent.repeated,
+                admitted_share=parent.admitted_share,
+                limited_by=parent.limited_by,
             )
         entry.deadline_s = deadline_s
         entry.call = calls.Call(
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -58,6 +58,7 @@
             cold=announcement.state == "cold",
         )
         self._admission = admission_lib.create(rules, self._limit, now_s, rate)
+        self._admission.service = announcement.service
         self._waiting: dict[str, _Waiting] = {}
         self.cancelled = 0
 
@@ -84,6 +85,16 @@
         """Accepted part of the slots that the backend server claims."""
         return self._limit.slots
 
+    @property
+    def spreads_level(self) -> bool:
+        """Whether the level is sent with answers of other services, too."""
+        return self._admission.spreads_level
+
+    @property
+    def min_recorded_step(self) -> int:
+        """Smallest change of the level that is recorded as an event."""
+        return self._admission.min_recorded_step
+
     def level(self) -> int:
         """Returns the highest admitted priority number."""
         return self._admission.level()
@@ -126,16 +137,25 @@
             self._waiting.pop(attempt_id, None)
         return refusal
 
-    def leave(self, service_s: float, class_name: str = "") -> None:
+    def leave(
+        self,
+        service_s: float,
+        class_name: str = "",
+        waited_below_s: float = 0.0,
+    ) -> None:
         """Returns a slot.
 
         Args:
             service_s: Time for which it was used.
             class_name: Class of the request; empty if it was not served.
+            waited_below_s: Part of that time for which the calls of the request
+                waited for slots of other services.
         """
         now_s = time.monotonic()
         if class_name:
-            self._admission.record_service_time(class_name, service_s)
+            self._admission.record_service_time(
+                class_name, service_s, waited_below_s
+            )
         self._apply(self._admission.release(service_s, now_s))
 
     def tick(self) -> None:
@@ -159,6 +179,7 @@
             policy.admission, self._limit, now_s, self._rate
         )
         fresh.in_use = self._admission.in_use
+        fresh.service = self._service
         self._admission = fresh
         for attempt_id, waiting in list(self._waiting.items()):
             if not waiting.settled.done():
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -126,6 +126,7 @@
         self._recorder = recorder
         self._gate: gate_lib.Gate | None = None
         self._pressure = asyncio.Event()
+        self._recorded_level = levels.OPEN
 
     @property
     def announcement(self) -> backend_lib.Announcement | None:
@@ -268,14 +269,20 @@
                 self._tick(self._gate)
 
     def _tick(self, gate: gate_lib.Gate) -> None:
-        before = gate.level()
         gate.tick()
-        if gate.level() != before:
+        before, after = self._recorded_level, gate.level()
+        if gate.spreads_level and self.announcement is not None:
+            self._dispatcher.level_tracker.services.record(
+                self.announcement.service, after, time.monotonic()
+            )
+        is_step = abs(after - before) >= gate.min_recorded_step
+        if after != before and (is_step or after >= levels.OPEN):
+            self._recorded_level = after
             self._recorder.record(
                 time.time(),
                 "guard.level",
                 before=before,
-                after=gate.level(),
+                after=after,
                 busy=round(gate.busy(), 3),
                 in_flight=gate.in_flight,
                 slots=gate.slots,
@@ -298,6 +305,8 @@
         """Waits for a slot; returns a refusal, or None with a slot."""
         arrived_s = time.monotonic()
         refusal = self._early_refusal(attempt)
+        if refusal is None and attempt.context.depth == 0:
+            self._set_admitted_share(attempt.context)
         refusal = refusal or await self._quarantine.enter(attempt)
         refusal = refusal or await self._wait_for_slot(attempt)
         if refusal is None:
@@ -314,7 +323,9 @@
         refusal: outcomes.Answer | None = None
         admitted = False
         try:
+            entered_s = time.monotonic()
             refusal = await self._gate.enter(attempt.context)
+            attempt.waited_s = time.monotonic() - entered_s
             admitted = refusal is None
         finally:
             if not admitted:
@@ -339,6 +350,28 @@
         )
         return context.priority > path_level
 
+    def _set_admitted_share(self, context: context_lib.RequestContext) -> None:
+        """Notes which share of its rank a new request was admitted with.
+
+        The guards of its nested calls estimate the whole demand from it.
+        """
+        level, bottleneck = self._bottleneck_of(context)
+        share = levels.admitted_share(level, context.rank)
+        if share < context.admitted_share:
+            context.admitted_share = share
+            context.limited_by = bottleneck
+
+    def _bottleneck_of(
+        self, context: context_lib.RequestContext
+    ) -> tuple[int, str]:
+        """Returns the lowest level that a request is subject to, and whose."""
+        level, bottleneck = self._dispatcher.level_tracker.path_bottleneck(
+            context.class_name, time.monotonic()
+        )
+        if self.announcement is not None and self.level() <= level:
+            return self.level(), self.announcement.service
+        return level, bottleneck
+
     def _return_slot(self, attempt: calls.Attempt) -> None:
         """Returns a slot that was not used."""
         assert self._gate is not None
@@ -391,7 +424,7 @@
         if answer.outcome is outcomes.Outcome.UNKNOWN:
             self._counters.unknown += 1
         context = attempt.context
-        answer.level = self._reported_level(context, answer)
+        self._set_levels(context, answer)
         answer.report = None
         if attempt.received is not None or not self.self_reports.is_plain:
             answer.report = self.self_reports.report_for(attempt.received)
@@ -403,26 +436,31 @@
             answer.far_kb = self._lineage.transfer_cost_of(context.class_name)
         return answer
 
-    def _reported_level(
+    def _set_levels(
         self, context: context_lib.RequestContext, answer: outcomes.Answer
-    ) -> int | None:
-        """Returns the lowest level of this guard and its downstream services.
+    ) -> None:
+        """Sets the lowest level of this guard and its downstream services.
 
-        None while no work is accepted: routers would apply the level of a
-        frozen or leaving server to its whole service. Also None for a
+        No level is set while no work is accepted: routers would apply the level
+        of a frozen or leaving server to its whole service. Nor is one set for a
         rate-limited server with idle slots, whose level would wrongly indicate
         spare capacity.
         """
+        tracker = self._dispatcher.level_tracker
+        now_s = time.monotonic()
+        received = answer.level
+        answer.level = None
+        answer.service_levels = tracker.services.to_send(now_s)
         if not self.accepts_work:
-            return None
-        path_level = self._dispatcher.level_tracker.path_level(
-            context.class_name, time.monotonic()
-        )
-        level = min(self.level(), path_level)
-        if answer.level is not None:
-            level = min(level, answer.level)
+            return
+        level, bottleneck = self._bottleneck_of(context)
+        if received is not None:
+            level = min(level, received)
         limited = answer.reason is outcomes.Reason.LIMITED
-        return None if limited and level >= levels.OPEN else level
+        if limited and level >= levels.OPEN:
+            return
+        answer.level = level
+        answer.bottleneck = bottleneck if level < levels.OPEN else ""
 
 
 def _ignore(incarnation: incarnations.Incarnation) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -53,6 +53,8 @@
         )
         self._new_work: set[str] = set()
         self._correlator = call_correlation.CallCorrelator()
+        # Waiting times of the calls of each attempt at the backend server.
+        self._waited_s: dict[str, float] = {}
 
     def is_new_work(self, class_name: str) -> bool:
         """Whether guards reported that requests of a class are new work."""
@@ -83,16 +85,22 @@
     def on_run_start(self, attempt: calls.Attempt) -> None:
         """Records that a request is handed to the backend server."""
         self._correlator.add(attempt.context)
+        self._waited_s[attempt.context.attempt_id] = 0.0
         self._transfer_costs.record_start(
             attempt.context.class_name, time.monotonic()
         )
 
-    def on_run_end(self, attempt: calls.Attempt) -> None:
-        """Records that a request at the backend server is no longer awaited."""
+    def on_run_end(self, attempt: calls.Attempt) -> float:
+        """Records that a request at the backend server is no longer awaited.
+
+        Returns:
+            How long its calls waited for slots.
+        """
         self._correlator.remove(attempt.context)
         self._transfer_costs.record_end(
             attempt.context.class_name, time.monotonic()
         )
+        return self._waited_s.pop(attempt.context.attempt_id, 0.0)
 
     def on_run_answer(
         self, attempt: calls.Attempt, started_s: float, answer: outcomes.Answer
@@ -136,6 +144,9 @@
         """Records the answer to a call whose parent request is known."""
         now_s = time.monotonic()
         class_name = call.context.class_name
+        parent = call.context.parent
+        if answer.queue_s and parent in self._waited_s:
+            self._waited_s[parent] += answer.queue_s
         self._new_work.discard(class_name)
         self._transfer_costs.record_call_of(
             call.parent_class, answer.far_kb, now_s
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -15,6 +15,7 @@
 
 from burdockfront import admission_queue
 from burdockfront import context as context_lib
+from burdockfront import demand_level
 from burdockfront import flow_level
 from burdockfront import levels
 from burdockfront import limit_level
@@ -27,6 +28,8 @@
 
 _WINDOW_S = 0.2
 _FLOW_WINDOW_S = 0.25
+# A hundred calls or more of a scarce service arrive in this time.
+_DEMAND_WINDOW_S = 0.1
 _TARGET_SHARE = 0.25
 _SERVICE_TIME_WEIGHT = 0.1
 _LONG_WAIT_FACTOR = 4
@@ -38,9 +41,17 @@
 
     Attributes:
         in_use: Slots in use.
+        service: Service of the backend server.
+        spreads_level: Whether the level is sent with answers of other services,
+            too.
+        min_recorded_step: Smallest change of the level that is recorded as an
+            event.
     """
 
     in_use: int
+    service: str
+    spreads_level: bool
+    min_recorded_step: int
 
     def offer(
         self, item_id: str, context: context_lib.RequestContext, now_s: float
@@ -65,8 +76,17 @@
     def busy(self) -> float:
         """Returns the share of slots that was recently in use."""
 
-    def record_service_time(self, class_name: str, service_s: float) -> None:
-        """Records how much slot time a call of a class took."""
+    def record_service_time(
+        self, class_name: str, service_s: float, waited_below_s: float
+    ) -> None:
+        """Records how much slot time a call of a class took.
+
+        Args:
+            class_name: The class.
+            service_s: Time for which the slot was used.
+            waited_below_s: Part of that time for which the calls of the request
+                waited for slots of other services.
+        """
 
     def shed_by_backend(self, now_s: float) -> None:
         """Records that the backend server itself refused a request."""
@@ -186,7 +206,9 @@
         """Returns the share of the slot time that recent arrivals take."""
         return self._flow.busy
 
-    def record_service_time(self, class_name: str, service_s: float) -> None:
+    def record_service_time(
+        self, class_name: str, service_s: float, waited_below_s: float
+    ) -> None:
         """Updates the mean slot time of the calls of a class."""
         before_s = self._work_s.get(class_name, service_s)
         updated_s = before_s + _SERVICE_TIME_WEIGHT * (service_s - before_s)
@@ -203,6 +225,72 @@
         pass
 
 
+@KINDS.register("demand")
+class DemandAdmission(FlowAdmission):
+    """Like `flow`, with a level from an estimate of the whole demand."""
+
+    spreads_level = True
+    # The level changes ten times a second, and each event costs a log line.
+    min_recorded_step = context_lib.ORDINALS // 8
+
+    def __init__(
+        self,
+        admission_policy: policy.AdmissionPolicy,
+        limit: limits.ConcurrencyLimit,
+        rate: rate_limits.RateLimit,
+        now_s: float,
+    ):
+        super().__init__(admission_policy, limit, rate, now_s)
+        self._demand = demand_level.DemandControl(_DEMAND_WINDOW_S, now_s)
+        # Mean slot time of a call, without waits of deeper calls.
+        self._used_s = self._service_s
+
+    def advance(self, now_s: float) -> admission_queue.Step:
+        """Also updates the level at the end of each window."""
+        step = admission_queue.QueueAdmission.advance(self, now_s)
+        self._limit_level.advance(now_s)
+        if self._demand.is_window_over(now_s):
+            slots = self._limit.current(now_s)
+            self._demand.advance(slots, self._backlog_s(slots), now_s)
+        return step
+
+    def record_service_time(
+        self, class_name: str, service_s: float, waited_below_s: float
+    ) -> None:
+        """Updates the mean slot time of the calls of a class.
+
+        Waits of deeper calls are left out. With them, all services above a
+        short one appear to be short as well, and refuse requests that do not
+        need the short one.
+        """
+        used_s = max(0.0, service_s - waited_below_s)
+        super().record_service_time(class_name, used_s, 0.0)
+        self._used_s += _SERVICE_TIME_WEIGHT * (used_s - self._used_s)
+
+    def _backlog_s(self, slots: int) -> float:
+        """Returns the work of the waiting calls, divided by the slots."""
+        return len(self._by_id) * self._used_s / slots
+
+    def level(self) -> int:
+        """Returns the highest admitted priority number."""
+        return min(self._demand.level, self._limit_level.level)
+
+    def busy(self) -> float:
+        """Returns the share of the slot time that recent arrivals take."""
+        return self._demand.busy
+
+    def _record_admitted(self, context: context_lib.RequestContext) -> None:
+        work_s = self._work_s.get(context.class_name, self._service_s)
+        # What another service cuts does not arrive here in any case.
+        share = 1.0
+        if context.limited_by == self.service:
+            share = context.admitted_share
+        self._demand.record_arrival(context.priority, work_s, share)
+
+    def _record_wait(self, delay_s: float) -> None:
+        pass
+
+
 @KINDS.register("limit")
 class LimitAdmission(admission_queue.QueueAdmission):
     """Baseline: a concurrency limit per hop, first come first served."""
--- a/packages/burdockfront/src/burdockfront/admission_queue.py
+++ b/packages/burdockfront/src/burdockfront/admission_queue.py
@@ -54,6 +54,9 @@
 class QueueAdmission:
     """Slots with a time-bounded queue, in an order that subclasses define."""
 
+    spreads_level = False
+    min_recorded_step = 1
+
     def __init__(
         self,
         admission_policy: policy.AdmissionPolicy,
@@ -62,6 +65,7 @@
         now_s: float,
     ):
         self.in_use = 0
+        self.service = ""
         self._policy = admission_policy
         self._limit = limit
         self._rate = rate
@@ -138,7 +142,9 @@
         """Returns 1.0; kinds without a level do not measure utilization."""
         return 1.0
 
-    def record_service_time(self, class_name: str, service_s: float) -> None:
+    def record_service_time(
+        self, class_name: str, service_s: float, waited_below_s: float
+    ) -> None:
         """Does nothing; only kinds that follow the flow need service times."""
 
     def shed_by_backend(self, now_s: float) -> None:
--- a/packages/burdockfront/src/burdockfront/context.py
+++ b/packages/burdockfront/src/burdockfront/context.py
@@ -16,13 +16,18 @@
 HEADER = "Burdockfront-Context"
 ORDINALS = 256
 MAX_DEPTH = 32
+# A level from which on all requests are admitted.
+OPEN_LEVEL = 8 * ORDINALS
+# End of the ranks that routes use.
+TOP_LEVEL = 4 * ORDINALS
 
 
 @dataclasses.dataclass(slots=True)
 class RequestContext:
     """The identity, priority and budgets of one call.
 
-    Instances are never modified. The class is not frozen, because a frozen one
+    Instances are not modified, except that the guard at which a request enters
+    sets `admitted_share`. The class is not frozen, because a frozen one
     takes twice as long to create, and each call creates several.
 
     Attributes:
@@ -40,6 +45,9 @@
         repeated: Whether this attempt, or one above it, is a retry.
         account_tag: Digest of the client account that the request belongs to,
             for fair shares; empty if there is none.
+        admitted_share: Share of the requests of this rank that was admitted
+            when the request entered the system.
+        limited_by: Service whose level set `admitted_share`; empty if it is 1.
     """
 
     request_id: str
@@ -53,6 +61,8 @@
     parent: str = ""
     repeated: bool = False
     account_tag: str = ""
+    admitted_share: float = 1.0
+    limited_by: str = ""
 
     @property
     def priority(self) -> int:
@@ -79,6 +89,8 @@
             self.parent,
             repeated,
             self.account_tag,
+            self.admitted_share,
+            self.limited_by,
         )
 
     def for_nested_call(
@@ -123,10 +135,13 @@
         context.parent,
         context.repeated,
     ]
-    if context.account_tag:
-        # Nodes of earlier releases do not read this part, so it is sent only
-        # where accounts compete.
+    is_limited = context.admitted_share < 1.0
+    if context.account_tag or is_limited:
+        # Nodes of earlier releases do not read these parts, so they are sent
+        # only where accounts compete or a service limits what is admitted.
         parts.append(context.account_tag)
+    if is_limited:
+        parts += [round(context.admitted_share, 3), context.limited_by]
     payload = keys.pack(orjson.dumps(parts))
     return f"{payload.decode()}.{keys.sign(payload)}"
 
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -36,8 +36,9 @@
 import math
 
 from burdockfront import context
+from burdockfront import service_levels
 
-OPEN = 8 * context.ORDINALS
+OPEN = context.OPEN_LEVEL
 _MIN_CUT = 0.03
 _MAX_CUT = 0.3
 _SINGLE_SLOT_IDLE_SHARE = 0.22
@@ -54,11 +55,20 @@
 _RECEIVED_WEIGHT = 0.4
 _OPEN_FACTOR = 1.5
 _MIN_OPEN_STEP = 16
+# Smallest admitted share that is told with a request: its inverse weighs the
+# request in estimates of the demand.
+_MIN_ADMITTED_SHARE = 0.03
 # Levels reach an entry with a delay. It refuses only what is clearly above the
 # level and leaves the boundary to the guard, which knows its exact level.
 ENTRY_SLACK = 64
 
 
+def admitted_share(level: int, rank: int) -> float:
+    """Returns the share of a rank's requests that a level admits."""
+    share = (level + 1) / context.ORDINALS - rank
+    return max(_MIN_ADMITTED_SHARE, min(1.0, share))
+
+
 class LevelControl:
     """Sets the level of one guard from its queue and its idle slots.
 
@@ -198,14 +208,33 @@
 
     def __init__(self) -> None:
         self._received: dict[tuple[str, str], _ReceivedLevel] = {}
+        # (Called service, class of the call) -> the service whose level was the
+        # lowest on the path of these calls.
+        self._bottlenecks: dict[tuple[str, str], str] = {}
+        self.services = service_levels.ServiceLevels()
         # (Class of the request, called service, class of the call) -> time of
         # the last such call.
         self._calls: dict[tuple[str, str, str], float] = {}
 
     def observe(
-        self, service: str, class_name: str, level: int, now_s: float
+        self,
+        service: str,
+        class_name: str,
+        level: int,
+        now_s: float,
+        bottleneck: str = "",
     ) -> None:
-        """Updates the level of a service with the path level on an answer."""
+        """Updates the level of a service with the path level on an answer.
+
+        Args:
+            service: The called service.
+            class_name: Class of the call.
+            level: Lowest level on the path of the call.
+            now_s: The current time.
+            bottleneck: The service that has this level; empty if unknown.
+        """
+        if bottleneck:
+            self._bottlenecks[(service, class_name)] = bottleneck
         known = float(self.level_of(service, class_name, now_s))
         if level >= OPEN:
             # OPEN is not averaged in: a router that refuses requests receives
@@ -221,6 +250,11 @@
 
     def level_of(self, service: str, class_name: str, now_s: float) -> int:
         """Returns the level of a service; OPEN if none was received."""
+        bottleneck = self._bottlenecks.get((service, class_name))
+        if bottleneck is not None:
+            level = self.services.level_of(bottleneck, now_s)
+            if level is not None:
+                return level
         received = self._received.get((service, class_name))
         if received is None:
             return OPEN
@@ -249,11 +283,20 @@
 
     def path_level(self, class_name: str, now_s: float) -> int:
         """Returns the lowest level of the services that a class calls."""
-        level = OPEN
+        return self.path_bottleneck(class_name, now_s)[0]
+
+    def path_bottleneck(self, class_name: str, now_s: float) -> tuple[int, str]:
+        """Returns the lowest level below a class, and the service with it."""
+        lowest, bottleneck = OPEN, ""
         for (name, service, called_class), at_s in self._calls.items():
-            if name == class_name and now_s - at_s < _EXPIRY_S:
-                level = min(level, self.level_of(service, called_class, now_s))
-        return level
+            if name != class_name or now_s - at_s >= _EXPIRY_S:
+                continue
+            level = self.level_of(service, called_class, now_s)
+            if level < lowest:
+                lowest = level
+                key = (service, called_class)
+                bottleneck = self._bottlenecks.get(key, service)
+        return lowest, bottleneck
 
     def remove_expired(self, now_s: float) -> None:
         """Removes levels and call records older than the expiry time."""
@@ -267,3 +310,9 @@
             for key, at_s in self._calls.items()
             if now_s - at_s < _EXPIRY_S
         }
+        called = {(service, name) for _, service, name in self._calls}
+        self._bottlenecks = {
+            key: bottleneck
+            for key, bottleneck in self._bottlenecks.items()
+            if key in self._received or key in called
+        }
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -11,8 +11,10 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
 
 from burdockfront import self_reports
+from burdockfront import service_levels as service_levels_lib
 
 
 class Outcome(enum.StrEnum):
@@ -95,6 +97,8 @@
             usual time; 1.0 if unknown.
         over_share: Client accounts above their fair share of the service, by
             tag, with their demand relative to that share.
+        bottleneck: Service that has the level of this answer; empty if unknown.
+        service_levels: Levels of the services that are short.
     """
 
     outcome: Outcome
@@ -116,6 +120,8 @@
     report: self_reports.SelfReport | None = None
     pace: float = 1.0
     over_share: dict[str, float] | None = None
+    bottleneck: str = ""
+    service_levels: Sequence[service_levels_lib.ServiceLevel] = ()
 
 
 _STATUS_OF_REASON = {
--- a/packages/burdockfront/src/burdockfront/policy.py
+++ b/packages/burdockfront/src/burdockfront/policy.py
@@ -68,8 +68,9 @@
 
     Attributes:
         kind: `level` (priority level, also upstream), `flow` (the same for
-            guards several layers from the entries), `limit` (concurrency limit
-            with a queue, first come first served) or `none`.
+            guards several layers from the entries), `demand` (the same from an
+            estimate of the whole demand), `limit` (concurrency limit with a
+            queue, first come first served) or `none`.
         queue_s: Maximum wait for a slot.
         ramp_s: Time from a cold start to full use of the slots.
     """
@@ -125,7 +126,7 @@
 
 
 class _AdmissionModel(_Model):
-    kind: Literal["level", "flow", "limit", "none"] = "level"
+    kind: Literal["level", "flow", "demand", "limit", "none"] = "level"
     queue_s: float = pydantic.Field(default=0.25, gt=0.0, le=10.0)
     ramp_s: float = pydantic.Field(default=3.0, ge=0.0, le=600.0)
 
--- /dev/null
+++ b/tests/unit/test_service_levels.py
@@ -0,0 +1,107 @@
+"""Tests of how the levels of short services spread with answers."""
+
+import random
+
+import pytest
+
+from burdockfront import levels
+from burdockfront import service_levels
+
+_NODES = 70
+_ANSWERS_PER_S = 50
+_STEP_S = 0.01
+
+
+class _Nodes:
+    """Nodes that answer random others, without a network."""
+
+    def __init__(self, seed: int):
+        self._rng = random.Random(seed)
+        self.nodes = [service_levels.ServiceLevels() for _ in range(_NODES)]
+        self.now_s = 100.0
+
+    def run(self, for_s: float, guard_level: int | None) -> None:
+        """Lets nodes answer each other; node 0 is a guard of the service."""
+        for _ in range(round(for_s / _STEP_S)):
+            self.now_s += _STEP_S
+            if guard_level is not None:
+                self.nodes[0].record("fees", guard_level, self.now_s)
+            for node in self.nodes:
+                if self._rng.random() < _ANSWERS_PER_S * _STEP_S:
+                    sent = self._rng.choice(self.nodes).to_send(self.now_s)
+                    node.observe(sent, self.now_s)
+
+    def known(self) -> list[int | None]:
+        """Returns the level that each node knows."""
+        return [n.level_of("fees", self.now_s) for n in self.nodes]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_level_reaches_all_nodes_in_less_than_half_a_second(seed):
+    nodes = _Nodes(seed)
+    nodes.run(0.4, 600)
+    assert nodes.known() == [600] * _NODES
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_end_of_a_shortage_reaches_all_nodes_in_less_than_a_second(seed):
+    # Failure: entries that refuse nearly everything hear no answers of the
+    # class, and kept refusing it beside idle slots.
+    nodes = _Nodes(seed)
+    nodes.run(2.0, 600)
+    nodes.run(0.8, levels.OPEN)
+    assert set(nodes.known()) <= {None, levels.OPEN}
+
+
+def test_level_is_forgotten_when_its_guards_fall_silent():
+    nodes = _Nodes(seed=4)
+    nodes.run(1.0, 600)
+    nodes.run(1.1, None)
+    assert nodes.known() == [None] * _NODES
+    assert nodes.nodes[5].to_send(nodes.now_s) == []
+
+
+def test_nothing_is_sent_while_no_service_is_short():
+    node = service_levels.ServiceLevels()
+    node.record("fees", levels.OPEN, 1.0)
+    assert node.to_send(1.0) == []
+
+
+def test_older_level_does_not_replace_a_newer_one():
+    node = service_levels.ServiceLevels()
+    node.record("fees", 700, 5.0)
+    node.observe([service_levels.ServiceLevel("fees", 300, 0.4)], 5.2)
+    assert node.level_of("fees", 5.2) == 700
+
+
+def test_levels_of_several_guards_are_merged():
+    node = service_levels.ServiceLevels()
+    for step in range(200):
+        node.record("fees", 500 if step % 2 else 700, step * 0.01)
+    level = node.level_of("fees", 1.99)
+    assert level is not None and 560 < level < 640
+
+
+def test_lowest_levels_are_sent_if_many_services_are_short():
+    node = service_levels.ServiceLevels()
+    for number in range(8):
+        node.record(f"service-{number}", 900 - number, 1.0)
+    sent = node.to_send(1.1)
+    assert [one.service for one in sent] == [
+        "service-7",
+        "service-6",
+        "service-5",
+        "service-4",
+    ]
+
+
+def test_entry_follows_the_level_of_the_bottleneck_of_a_path():
+    # Failure: the level of a deep service reached an entry only through each
+    # layer's answers to the same class.
+    tracker = levels.LevelTracker()
+    tracker.observe("catalogue", "browse", 600, 1.0, bottleneck="fees")
+    tracker.services.record("fees", 650, 1.2)
+    assert tracker.level_of("catalogue", "browse", 1.3) == 650
+    assert tracker.level_of("catalogue", "other", 1.3) == levels.OPEN
+    tracker.services.record("fees", levels.OPEN, 1.4)
+    assert tracker.level_of("catalogue", "browse", 1.4) == levels.OPEN
