Pass the load reports of the backend server to its guard

The header was parsed for health checks only, and the remaining warm-up of heartbeats was parsed and not used.

RoutedHandover now passes all values of the header on each complete answer of the server, rejections included, to backend_load.BackendLoad, with the incarnation that the request was sent to. The initial health check does the same. An unsigned success is not used, and an answer of another incarnation counts as such. Heartbeats pass the remaining warm-up on. Guard.pace() returns the slowdown, doubled while the server is warming up; nothing uses it yet. The setting routed.load_reports (on by default) switches all of this off; the native interface has no such header.

--- a/packages/burdockfront-node/src/burdockfront_node/backend.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend.py
@@ -54,6 +54,8 @@
         incarnation: Its incarnation, as far as it is reported.
         notice: Its rate limit or the absence of one; None if the announcement
             has no such field.
+        warm_in_s: Remaining time in which it is slow after its start; 0 if it
+            is not reported.
     """
 
     service: str
@@ -64,6 +66,7 @@
     embedded: bool
     incarnation: incarnations.Incarnation = incarnations.UNIDENTIFIED
     notice: self_reports.BackendNotice | None = None
+    warm_in_s: float = 0.0
 
     @property
     def draining(self) -> bool:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/heartbeats.py
@@ -116,6 +116,7 @@
                 load=0.0,
                 embedded=False,
                 incarnation=incarnations_lib.incarnation_of(current),
+                warm_in_s=current.warm_in_s,
             )
         )
 
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/initial_health_check.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/initial_health_check.py
@@ -19,6 +19,7 @@
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import pool as pool_lib
 from burdockfront_node import adapters
+from burdockfront_node import backend_load as backend_load_lib
 from burdockfront_node import backend_self_reports
 from burdockfront_node.controllers import heartbeats as heartbeats_lib
 from burdockfront_node.controllers import route_watch as route_watch_lib
@@ -46,6 +47,8 @@
         incarnations: Knows which incarnation is in service.
         heartbeats: Receives the result as a heartbeat.
         reports: Receives the self report in the answer.
+        backend_load: Receives the load report in the answer; None to ignore
+            it.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         incarnations: incarnations_lib.IncarnationTracker,
         heartbeats: heartbeats_lib.Heartbeats,
         reports: backend_self_reports.BackendSelfReports,
+        backend_load: backend_load_lib.BackendLoad | None = None,
     ):
+        self._backend_load = backend_load
         self._service = service
         self._data_center = data_center
         self._address = address
@@ -77,9 +82,12 @@
         if not path or self._incarnations.current is not None:
             return
         asked_s = time.monotonic()
-        health = await self._request_health(path)
+        answer = await self._request_health(path)
         # A heartbeat that arrived meanwhile takes precedence.
-        if health is None or self._incarnations.current is not None:
+        if answer is None or self._incarnations.current is not None:
+            return
+        health = self._dialect.health_of(answer)
+        if health is None:
             return
         self._heartbeats.on_heartbeat(
             incarnations_lib.Heartbeat(
@@ -93,19 +101,24 @@
                 sequence=_SEQUENCE,
             )
         )
+        incarnation = incarnations_lib.Incarnation(health.instance_id)
+        load = self._dialect.load_of(answer)
+        if self._backend_load is not None and load:
+            self._backend_load.on_answer(load, incarnation, asked_s)
         if health.notice is not self_reports.NO_NOTICE:
             # An empty self report here does not show that the server has no
             # limit, so it is ignored.
-            incarnation = incarnations_lib.Incarnation(health.instance_id)
             self._reports.on_answer(health.notice, incarnation, asked_s)
 
-    async def _request_health(self, path: str) -> adapters.Health | None:
+    async def _request_health(
+        self, path: str
+    ) -> connection_lib.RawAnswer | None:
         request = connection_lib.encode_request(
             "GET", path, self._address, (), b""
         )
         pool = pool_lib.Pool(self._address)
         try:
-            answer = await pool.exchange(
+            return await pool.exchange(
                 request, lambda _: True, _LIMIT_BYTES, True, _TIMEOUT_S
             )
         except (
@@ -120,4 +133,3 @@
             return None
         finally:
             pool.close_idle()
-        return self._dialect.health_of(answer)
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -19,6 +19,7 @@
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_node import availability
+from burdockfront_node import backend_load as backend_load_lib
 from burdockfront_node import daemon_components
 from burdockfront_node import entry as entry_lib
 from burdockfront_node import guard as guard_lib
@@ -191,6 +192,7 @@
         ledger = ledger_lib.Ledger(
             settings.node_id, self._boot_id, settings.ledger_bytes
         )
+        self._backend_load = self._new_backend_load()
         self._guard = guard_lib.Guard(
             settings.node_id,
             ledger,
@@ -204,6 +206,7 @@
             self._guard_rules(),
             self._new_lineage(),
             self._quarantine,
+            self._backend_load,
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
@@ -231,6 +234,10 @@
         """Returns the burst size of this node's retry budget per service."""
         return allowance_lib.DEFAULT_BURST
 
+    def _new_backend_load(self) -> backend_load_lib.BackendLoad | None:
+        """Returns the tracker of load reports; None to ignore them."""
+        return None
+
     def _new_handover(self) -> handover_lib.Handover | None:
         """Returns the handover to the backend server; None for the default."""
         return None
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -28,6 +28,7 @@
 from burdockfront_client import peers as peers_lib
 from burdockfront_node import availability as availability_lib
 from burdockfront_node import backend as backend_lib
+from burdockfront_node import backend_load as backend_load_lib
 from burdockfront_node import backend_runs
 from burdockfront_node import backend_self_reports
 from burdockfront_node import gate as gate_lib
@@ -70,8 +71,11 @@
             do not propagate them; None where they do.
         quarantine: Refuses requests that crash servers; by default a standalone
             one.
+        backend_load: The load and pace that the backend server reports; None
+            where they are not used.
 
     Attributes:
+        backend_load: The argument of this name.
         on_server_leaving: Called with each incarnation of the server that is
             found to leave.
         self_reports: The current self report of the backend server.
@@ -92,7 +96,9 @@
         rules: availability_lib.GuardRules | None = None,
         lineage: lineage_lib.Lineage | None = None,
         quarantine: quarantine_lib.Quarantine | None = None,
+        backend_load: backend_load_lib.BackendLoad | None = None,
     ):
+        self.backend_load = backend_load
         self.on_server_leaving: Callable[[incarnations.Incarnation], None]
         self.on_server_leaving = _ignore
         self._lineage = lineage
@@ -177,10 +183,21 @@
         """Returns the calls that wait or run, per slot."""
         return self._gate.load() if self._gate else 0.0
 
+    def pace(self) -> float:
+        """Returns how long work takes at the backend server now.
+
+        Relative to its usual time, as the server reports it; 1.0 if unknown.
+        """
+        return self.backend_load.pace() if self.backend_load else 1.0
+
     def announce(self, announcement: backend_lib.Announcement) -> None:
         """Processes an announcement of the backend server."""
         before = self.announcement
         self.self_reports.on_in_service(announcement.incarnation)
+        if self.backend_load is not None:
+            self.backend_load.on_announcement(
+                announcement.incarnation, announcement.warm_in_s
+            )
         if announcement.notice is not None:
             self.self_reports.on_answer(
                 announcement.notice, announcement.incarnation, time.monotonic()
@@ -214,6 +231,8 @@
     def clear_announcement(self) -> None:
         """Records that the backend server has stopped announcing itself."""
         self._availability.clear_announcement()
+        if self.backend_load is not None:
+            self.backend_load.on_silent()
 
     def _handle_server_leaving(
         self, incarnation: incarnations.Incarnation
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -19,6 +19,7 @@
 from burdockfront_node import account_status as account_status_lib
 from burdockfront_node import adapters
 from burdockfront_node import availability
+from burdockfront_node import backend_load as backend_load_lib
 from burdockfront_node import daemon as daemon_lib
 from burdockfront_node import daemon_components
 from burdockfront_node import handover as handover_lib
@@ -202,9 +203,17 @@
             )
         self._route_watch.set_watcher(self._settings.node_id in names)
 
+    def _new_backend_load(self) -> backend_load_lib.BackendLoad | None:
+        if not self._routed.load_reports:
+            return None
+        return backend_load_lib.BackendLoad(self._recorder)
+
     def _new_handover(self) -> handover_lib.Handover:
         return routed_handover.RoutedHandover(
-            self._adapter.dialect, self._incarnations, self._attempts
+            self._adapter.dialect,
+            self._incarnations,
+            self._attempts,
+            self._backend_load,
         )
 
     def _new_lineage(self) -> lineage_lib.Lineage:
@@ -280,6 +289,7 @@
                 self._incarnations,
                 heartbeats,
                 self._guard.self_reports,
+                self._backend_load,
             )
         )
         exposition = exposition_lib.Exposition(
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -18,6 +18,7 @@
 from burdockfront_client import wire
 from burdockfront_node import adapters
 from burdockfront_node import backend as backend_lib
+from burdockfront_node import backend_load as backend_load_lib
 
 # Time after the deadline for the backend server's own answer to arrive; the
 # server is on the same VM. The calling node waits slightly longer.
@@ -32,6 +33,8 @@
         dialect: The header conventions of the backend server.
         incarnations: Tracks which incarnation is in service.
         attempts: Open attempts, to find the parents of downstream calls.
+        backend_load: Receives the load reports on answers; None to ignore
+            them.
     """
 
     def __init__(
@@ -39,7 +42,9 @@
         dialect: adapters.Dialect,
         incarnations: incarnations_lib.IncarnationTracker,
         attempts: attempts_lib.AttemptTracker,
+        backend_load: backend_load_lib.BackendLoad | None = None,
     ):
+        self._backend_load = backend_load
         self._dialect = dialect
         self._incarnations = incarnations
         self._attempts = attempts
@@ -66,7 +71,8 @@
             return outcomes.not_run(
                 outcomes.Reason.DRAINING, admission.RETRY_AFTER_S
             )
-        remaining_s = attempt.call.deadline_s - time.monotonic()
+        sent_s = time.monotonic()
+        remaining_s = attempt.call.deadline_s - sent_s
         if remaining_s < _MIN_REMAINING_S:
             return outcomes.not_run(
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
@@ -97,8 +103,33 @@
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         finally:
             self._attempts.end(attempt.context.attempt_id)
+        if self._backend_load is not None:
+            values = self._dialect.load_of(answer)
+            if values:
+                self._record_load(values, answer, current, sent_s)
         return self._evaluate(answer, current.instance_id)
 
+    def _record_load(
+        self,
+        values: tuple[str, ...],
+        answer: connection_lib.RawAnswer,
+        current: incarnations_lib.Heartbeat,
+        sent_s: float,
+    ) -> None:
+        """Records the load report on an answer.
+
+        An unsigned success may be damaged, and an answer of another incarnation
+        does not show the load of the one in service.
+        """
+        assert self._backend_load is not None
+        if not self._dialect.is_complete(answer):
+            return
+        incarnation = incarnations_lib.incarnation_of(current)
+        outcome = self._dialect.outcome_of(answer)
+        if outcome is adapters.BackendOutcome.OTHER_INCARNATION:
+            incarnation = incarnations_lib.UNIDENTIFIED
+        self._backend_load.on_answer(values, incarnation, sent_s)
+
     def _pool_of(
         self, address: str, current: incarnations_lib.Heartbeat
     ) -> pool_lib.Pool:
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -32,6 +32,7 @@
         ({"gossip": {"period": 1}}, "gossip.period: unknown key"),
         ({"node_id": "a b"}, "node_id"),
         ({"ticket_lifetime_s": 1}, "ticket_lifetime_s"),
+        ({"routed": {"load_reports": "no"}}, "routed.load_reports"),
     ],
 )
 def test_invalid_values_are_named(changes, message):
