Send the pace of the backend server on the answers of its guard

Routers learn that a machine is slow only from the time that its answers take, after they have sent it work.

The guard sets Answer.pace on each answer, also on refusals, while its server reports its load or a warm-up. Otherwise the pace stays 1.0 and nothing is sent; an answer that is replayed for its ticket gets the present pace.

A server without reports costs no further function call.

--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -99,6 +99,7 @@
         backend_load: backend_load_lib.BackendLoad | None = None,
     ):
         self.backend_load = backend_load
+        self._server_load = backend_load.server_load if backend_load else None
         self.on_server_leaving: Callable[[incarnations.Incarnation], None]
         self.on_server_leaving = _ignore
         self._lineage = lineage
@@ -416,6 +417,10 @@
             answer.report = self.self_reports.report_for(attempt.received)
         answer.load = self.load()
         answer.draining = not self.accepts_work or self.announcement is None
+        # Also resets the pace on an answer that is replayed for its ticket.
+        answer.pace = 1.0
+        if self._server_load is not None and self._server_load.is_reported:
+            answer.pace = self.pace()
         answer.nested_call = context.depth > 0
         answer.far_kb = 0.0
         if self._lineage is not None:
