Record the pace of backend servers at the router

Guards send the pace on their answers, and the router did not keep it.

An answer at the usual pace is passed on only if the last one of that guard was at another pace, so nothing is called where no server reports its load. The set of such guards holds at most 1,024 ids.

--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -24,6 +24,11 @@
 # Approximate size of the heads of a call and its answer together.
 _HEADS_BYTES = 600
 _BYTES_PER_KB = 1000.0
+_USUAL_PACE = 1.0
+# More than the number of nodes of the largest system. Guards that have left
+# stay in the set until it is full. It is then cleared: a pace is valid for a
+# second only, so missing the end of one does no harm.
+_MAX_PACED = 1024
 
 
 class Feedback:
@@ -53,6 +58,8 @@
         self._level_tracker = level_tracker
         self._recorder = recorder
         self._counters = counters
+        # Guards whose last pace was not the usual one.
+        self._paced: set[str] = set()
 
     def record(
         self,
@@ -75,6 +82,8 @@
         self._router.record_answer(
             target.node_id, answer.load, answer.draining, now_s
         )
+        if answer.pace != _USUAL_PACE or target.node_id in self._paced:
+            self._record_pace(target.node_id, answer.pace, now_s)
         self._router.transfer_costs.record_report(
             target.node_id, call.context.class_name, answer.far_kb, now_s
         )
@@ -98,6 +107,15 @@
         if self._router.is_far(target):
             self._record_transfer(call, answer)
 
+    def _record_pace(self, node_id: str, pace: float, now_s: float) -> None:
+        if pace == _USUAL_PACE:
+            self._paced.discard(node_id)
+        else:
+            if len(self._paced) >= _MAX_PACED:
+                self._paced.clear()
+            self._paced.add(node_id)
+        self._router.record_pace(node_id, pace, now_s)
+
     def _record_transfer(
         self, call: calls.Call, answer: outcomes.Answer
     ) -> None:
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -68,6 +68,8 @@
     probe_at_s: float = 0.0
     draining_at_s: float = -1e9
     limited_until_s: float = -1e9
+    pace: float = 1.0
+    pace_at_s: float = -1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +207,19 @@
             state.draining_at_s = now_s
             self._candidates.clear()
 
+    def record_pace(self, node_id: str, pace: float, now_s: float) -> None:
+        """Records how long work takes at a guard's backend server.
+
+        Args:
+            node_id: The guard.
+            pace: The time that work takes, relative to its usual time.
+            now_s: The current time.
+        """
+        state = self._states.get(node_id)
+        if state is not None:
+            state.pace = pace
+            state.pace_at_s = now_s
+
     def record_limited(
         self, node_id: str, retry_after_s: float, now_s: float
     ) -> bool:
