Show the reported load and pace of backend servers in the metrics

Operators could not see that a backend server reports to be slow, nor that its reports are damaged.

New gauges guard.pace, guard.reported_running and guard.reported_waiting, and the counter guard.load_reports_ignored.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -23,6 +23,8 @@
 _UNKNOWN_AGE_S = -1.0
 # Gauge value for a backend server that reports no limit.
 _NO_LIMIT = -1.0
+# Gauge value for a backend server that has not reported its load recently.
+_NO_LOAD = -1.0
 
 
 class Metrics:
@@ -90,11 +92,15 @@
         limit_per_s = report.limit_per_s
         if limit_per_s is None:
             limit_per_s = _NO_LIMIT
+        load = self._guard.latest_load()
         return {
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
             "guard.limit_per_s": limit_per_s,
             "guard.says_it_leaves": int(report.leaving),
+            "guard.pace": round(self._guard.pace(), 2),
+            "guard.reported_running": load.running if load else _NO_LOAD,
+            "guard.reported_waiting": load.waiting if load else _NO_LOAD,
             "guard.load": round(self._guard.load(), 3),
             "guard.slots": self._guard.slots,
             "guard.slots_claimed": self._guard.slots_claimed,
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -18,6 +18,7 @@
 from burdockfront import incarnations
 from burdockfront import ledger as ledger_lib
 from burdockfront import levels
+from burdockfront import load_reports
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import tickets
@@ -172,6 +173,9 @@
             "handed_over": self._runs.handed_over,
             **dataclasses.asdict(self._counters),
             "backend_crashes": self._quarantine.crash_detector.crashes,
+            "load_reports_ignored": self._server_load.ignored
+            if self._server_load
+            else 0,
             "replayed": self.tickets.replayed,
             "cancelled": self._gate.cancelled if self._gate else 0,
         }
@@ -191,6 +195,10 @@
         """
         return self.backend_load.pace() if self.backend_load else 1.0
 
+    def latest_load(self) -> load_reports.LoadReport | None:
+        """Returns the load that the backend server reports; None if unknown."""
+        return self.backend_load.latest() if self.backend_load else None
+
     def announce(self, announcement: backend_lib.Announcement) -> None:
         """Processes an announcement of the backend server."""
         before = self.announcement
