Decode load reports only where their figures are shown

The format of a report now includes its bounds, so one match decides whether it is used; the counts are decoded for the metrics only. The bound of the counts becomes 99,999. A number that is negative or has more digits is now logged as out of range instead of unreadable.

--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -110,7 +110,7 @@
     def _record_pace(self, node_id: str, pace: float, now_s: float) -> None:
         if pace == _USUAL_PACE:
             self._paced.discard(node_id)
-        else:
+        elif node_id not in self._paced:
             if len(self._paced) >= _MAX_PACED:
                 self._paced.clear()
             self._paced.add(node_id)
--- a/packages/burdockfront-node/src/burdockfront_node/backend_load.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_load.py
@@ -11,8 +11,6 @@
 # The pace may change many times a second. Changes of its class are recorded at
 # most at this interval.
 _CHANGE_INTERVAL_S = 1.0
-_USUAL = "usual"
-_SLOW = "slow"
 
 
 class BackendLoad:
@@ -28,7 +26,7 @@
     def __init__(self, recorder: timeline.Recorder):
         self.server_load = load_reports.ServerLoad()
         self._recorder = recorder
-        self._pace_class = _USUAL
+        self._is_slow = False
         self._changed_s = -_CHANGE_INTERVAL_S
 
     def on_answer(
@@ -54,7 +52,9 @@
                 reason=problem,
                 value=values[0][:_MAX_VALUE_LENGTH],
             )
-        self._record_class(now_s)
+        is_slow = self.server_load.slowdown > load_reports.SLOW_PACE
+        if is_slow is not self._is_slow:
+            self._record_class(now_s)
 
     def on_announcement(
         self, incarnation: incarnations.Incarnation, warm_in_s: float
@@ -87,13 +87,16 @@
     def _record_class(self, now_s: float) -> None:
         """Records a change between a usual and a slow pace."""
         pace = self.server_load.pace(now_s)
-        pace_class = _SLOW if pace > load_reports.SLOW_PACE else _USUAL
-        if pace_class == self._pace_class:
+        is_slow = pace > load_reports.SLOW_PACE
+        if is_slow is self._is_slow:
             return
         if now_s - self._changed_s < _CHANGE_INTERVAL_S:
             return
-        self._pace_class = pace_class
+        self._is_slow = is_slow
         self._changed_s = now_s
         self._recorder.record(
-            time.time(), "backend.pace", pace_class=pace_class, pace=pace
+            time.time(),
+            "backend.pace",
+            pace_class="slow" if is_slow else "usual",
+            pace=round(pace, 2),
         )
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -428,7 +428,7 @@
         # Also resets the pace on an answer that is replayed for its ticket.
         answer.pace = 1.0
         if self._server_load is not None and self._server_load.is_reported:
-            answer.pace = self.pace()
+            answer.pace = self._server_load.pace(time.monotonic())
         answer.nested_call = context.depth > 0
         answer.far_kb = 0.0
         if self._lineage is not None:
--- a/packages/burdockfront/src/burdockfront/load_reports.py
+++ b/packages/burdockfront/src/burdockfront/load_reports.py
@@ -15,18 +15,19 @@
 
 from burdockfront import incarnations
 
-# Three or four comma-separated numbers, within the bounds below.
-_FORMAT = re.compile(
-    r"[ \t]*([0-9]{1,6})[ \t]*,[ \t]*([0-9]{1,6})[ \t]*,[ \t]*([0-9]{1,6})"
-    r"[ \t]*(?:,[ \t]*([0-9]{1,5}(?:\.[0-9]{1,6})?)[ \t]*)?"
-)
-# As the largest number of slots that a native announcement may have.
-_MAX_COUNT = 100_000
+# The bounds are part of the format, because reports are read for each answer.
+# Counts have at most five digits, as in announcements. A slowdown below 10 or
+# above 10,000 is assumed to be damaged: a small one would attract all the work
+# of a service to one server.
+_COUNT = r"[ \t]*([0-9]{1,5})[ \t]*"
+_SLOTS = r"[ \t]*([1-9][0-9]{0,4})[ \t]*"
+_SLOWDOWN = r"[ \t]*([1-9][0-9]{1,3}(?:\.[0-9]{1,6})?|10000)[ \t]*"
+_FORMAT = re.compile(f"{_COUNT},{_COUNT},{_SLOTS}(?:,{_SLOWDOWN})?")
+# Three or four numbers of any size.
+_NUMBER = r"[ \t]*-?[0-9]+(?:\.[0-9]+)?[ \t]*"
+_NUMBERS = re.compile(f"{_NUMBER}(?:,{_NUMBER}){{2,3}}")
+_MAX_LENGTH = 100
 _USUAL_SLOWDOWN = 100.0
-# A value outside of these bounds is assumed to be damaged: below, one damaged
-# report would attract all the work of a service; above, it would end it.
-_MIN_SLOWDOWN = 10.0
-_MAX_SLOWDOWN = 10_000.0
 # The slowdown changes many times a second. A busy server sends a new report
 # with each answer, so an older one means that its answers have stopped.
 MAX_AGE_S = 1.0
@@ -67,24 +68,10 @@
     OTHER_INCARNATION = "other-incarnation"
 
 
-def parse(values: Sequence[str]) -> LoadReport | Problem:
-    """Parses the report on an answer.
-
-    Args:
-        values: All values of the header on this answer, at least one.
-    """
-    if len(values) != 1:
-        return Problem.DUPLICATE
-    found = _FORMAT.fullmatch(values[0])
-    if found is None:
-        return Problem.UNREADABLE
-    running, waiting, slots = (int(found[number]) for number in (1, 2, 3))
-    slowdown = float(found[4] or _USUAL_SLOWDOWN)
-    if slots < 1 or max(running, waiting, slots) > _MAX_COUNT:
-        return Problem.OUT_OF_RANGE
-    if not _MIN_SLOWDOWN <= slowdown <= _MAX_SLOWDOWN:
-        return Problem.OUT_OF_RANGE
-    return LoadReport(running, waiting, slots, slowdown / _USUAL_SLOWDOWN)
+def _problem_of(value: str) -> Problem:
+    """Returns why a value does not have the expected format."""
+    is_readable = len(value) <= _MAX_LENGTH and _NUMBERS.fullmatch(value)
+    return Problem.OUT_OF_RANGE if is_readable else Problem.UNREADABLE
 
 
 class ServerLoad:
@@ -93,14 +80,16 @@
     Attributes:
         is_reported: The incarnation in service has reported its load or that
             it is warming up.
+        slowdown: Slowdown of the latest report, however old; 1.0 without one.
         ignored: Number of reports that were not used.
     """
 
     def __init__(self) -> None:
         self.is_reported = False
+        self.slowdown = 1.0
         self.ignored = 0
         self._incarnation = incarnations.UNIDENTIFIED
-        self._report: LoadReport | None = None
+        self._found: re.Match[str] | None = None
         self._sent_s = _NEVER_S
         self._received_s = _NEVER_S
         self._warm_at_s = _NEVER_S
@@ -120,7 +109,8 @@
             return
         self._incarnation = incarnation
         self.is_reported = False
-        self._report = None
+        self.slowdown = 1.0
+        self._found = None
         self._sent_s = _NEVER_S
         self._received_s = _NEVER_S
         self._warm_at_s = _NEVER_S
@@ -135,6 +125,9 @@
     ) -> Problem | None:
         """Records the report on an answer.
 
+        Called for each answer, so it makes few function calls: the report is
+        decoded in full only by `latest`.
+
         Args:
             incarnation: The incarnation that gave the answer.
             values: All values of the header on this answer, at least one.
@@ -145,35 +138,33 @@
             Why the report is not used, the first time that this happens with
             this incarnation; otherwise None.
         """
-        problem = self._problem_of(incarnation, values, sent_s)
-        if problem is None:
-            self._received_s = now_s
-            self.is_reported = True
-            return None
+        current = self._incarnation
+        if incarnation is not current and not incarnation.may_be(current):
+            return self._ignore(Problem.OTHER_INCARNATION)
+        if sent_s < self._sent_s:
+            return self._ignore(Problem.OUTDATED)
+        if values[1:]:
+            return self._ignore(Problem.DUPLICATE)
+        found = _FORMAT.fullmatch(values[0])
+        if found is None:
+            return self._ignore(_problem_of(values[0]))
+        slowdown = found[4]
+        self.slowdown = (
+            1.0 if slowdown is None else float(slowdown) / _USUAL_SLOWDOWN
+        )
+        self._found = found
+        self._sent_s = sent_s
+        self._received_s = now_s
+        self.is_reported = True
+        return None
+
+    def _ignore(self, problem: Problem) -> Problem | None:
         self.ignored += 1
         if problem in self._known_problems:
             return None
         self._known_problems.add(problem)
         return problem
 
-    def _problem_of(
-        self,
-        incarnation: incarnations.Incarnation,
-        values: Sequence[str],
-        sent_s: float,
-    ) -> Problem | None:
-        """Stores a report, or returns why it is not used."""
-        if not incarnation.may_be(self._incarnation):
-            return Problem.OTHER_INCARNATION
-        if sent_s < self._sent_s:
-            return Problem.OUTDATED
-        found = parse(values)
-        if isinstance(found, Problem):
-            return found
-        self._report = found
-        self._sent_s = sent_s
-        return None
-
     def record_warm_up(self, warm_in_s: float, now_s: float) -> None:
         """Records how long the incarnation in service will be warming up.
 
@@ -189,9 +180,11 @@
 
     def latest(self, now_s: float) -> LoadReport | None:
         """Returns the latest report, or None if there is no recent one."""
-        if now_s - self._received_s > MAX_AGE_S:
+        found = self._found
+        if found is None or now_s - self._received_s > MAX_AGE_S:
             return None
-        return self._report
+        running, waiting, slots = (int(found[number]) for number in (1, 2, 3))
+        return LoadReport(running, waiting, slots, self.slowdown)
 
     def pace(self, now_s: float) -> float:
         """Returns how long work takes now, relative to its usual time.
@@ -199,6 +192,7 @@
         A recent report includes the slowdown of the machine, but not the one
         of a server that is warming up.
         """
-        report = self.latest(now_s)
-        pace = 1.0 if report is None else report.slowdown
+        pace = 1.0
+        if now_s - self._received_s <= MAX_AGE_S:
+            pace = self.slowdown
         return pace * _WARM_UP_FACTOR if now_s < self._warm_at_s else pace
