--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -18,6 +18,7 @@
 from burdockfront_client import wire
 from burdockfront_node import adapters
 from burdockfront_node import backend as backend_lib
+from burdockfront_node import backend_load as backend_load_lib
 
 # Time after the deadline for the backend server's own answer to arrive; the
 # server is on the same VM. The calling node waits slightly longer.
@@ -32,6 +33,8 @@
         dialect: The header conventions of the backend server.
         incarnations: Tracks which incarnation is in service.
         attempts: Open attempts, to find the parents of downstream calls.
+        backend_load: Receives the load reports on answers; None to ignore
+            them.
     """
 
     def __init__(
@@ -39,7 +42,9 @@
         dialect: adapters.Dialect,
         incarnations: incarnations_lib.IncarnationTracker,
         attempts: attempts_lib.AttemptTracker,
+        backend_load: backend_load_lib.BackendLoad | None = None,
     ):
+        self._backend_load = backend_load
         self._dialect = dialect
         self._incarnations = incarnations
         self._attempts = attempts
@@ -66,7 +71,8 @@
             return outcomes.not_run(
                 outcomes.Reason.DRAINING, admission.RETRY_AFTER_S
             )
-        remaining_s = attempt.call.deadline_s - time.monotonic()
+        sent_s = time.monotonic()
+        remaining_s = attempt.call.deadline_s - sent_s
         if remaining_s < _MIN_REMAINING_S:
             return outcomes.not_run(
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
@@ -97,7 +103,9 @@
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         finally:
             self._attempts.end(attempt.context.attempt_id)
-        return self._evaluate(answer, current.instance_id)
+        return self._evaluate(
+            answer, current.instance_id, announced.incarnation, sent_s
+        )
 
     def _pool_of(
         self, address: str, current: incarnations_lib.Heartbeat
@@ -139,11 +147,31 @@
         return tuple([pair for pair in kept if pair[0] not in not_forwarded])
 
     def _evaluate(
-        self, answer: connection_lib.RawAnswer, instance_id: str
+        self,
+        answer: connection_lib.RawAnswer,
+        instance_id: str,
+        incarnation: incarnations_lib.Incarnation,
+        sent_s: float,
     ) -> outcomes.Answer:
+        """Returns the outcome of an attempt.
+
+        Args:
+            answer: The answer of the backend server.
+            instance_id: Id of the backend server that the attempt was meant
+                for.
+            incarnation: The announced incarnation, which has this id.
+            sent_s: Time at which the attempt was handed over.
+        """
         if not self._dialect.is_complete(answer):
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
-        match self._dialect.outcome_of(answer):
+        outcome = self._dialect.outcome_of(answer)
+        load = self._backend_load
+        if load is not None and (values := self._dialect.load_of(answer)):
+            if outcome is adapters.BackendOutcome.OTHER_INCARNATION:
+                load.on_answer(values, incarnations_lib.UNIDENTIFIED, sent_s)
+            else:
+                load.on_answer(values, incarnation, sent_s)
+        match outcome:
             case adapters.BackendOutcome.REJECTED:
                 refusal = outcomes.not_run(
                     outcomes.Reason.REJECTED, admission.RETRY_AFTER_S
