Use the pace of a backend server in its expected time to an answer

A machine that is slow for 0.6 s is seen by its learned latency after about ten answers, and by then the spell is over. Guards report the pace on each answer, so the expected time of a guard is now its learned time multiplied by the pace, in full up to an age of 0.25 s and not at all from 0.75 s.

The learned latency would count the same slowdown again. It moves only if an answer is outside of the range that the pace explains, since nested calls take as long as before while a server is slow. A pace below 1.0 counts as 1.0, and one above 10 as 10.

--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -75,6 +75,7 @@
         self._router.record_answer(
             target.node_id, answer.load, answer.draining, now_s
         )
+        self._router.record_pace(target.node_id, answer.pace, now_s)
         self._router.transfer_costs.record_report(
             target.node_id, call.context.class_name, answer.far_kb, now_s
         )
@@ -136,7 +137,12 @@
         estimates.record_size(call.service, class_name, _size_kb(call, answer))
         if answer.status < _SERVER_ERROR:
             estimates.record_answer(
-                call.service, target.node_id, class_name, elapsed_s, now_s
+                call.service,
+                target.node_id,
+                class_name,
+                elapsed_s,
+                now_s,
+                answer.pace,
             )
 
     def _record_limit(
--- a/packages/burdockfront/src/burdockfront/guard_estimates.py
+++ b/packages/burdockfront/src/burdockfront/guard_estimates.py
@@ -70,8 +70,25 @@
         class_name: str,
         elapsed_s: float,
         now_s: float,
+        pace: float = 1.0,
     ) -> None:
-        """Updates the estimates with a successful answer."""
+        """Updates the estimates with a successful answer.
+
+        The expected time to an answer is the learned time multiplied by the
+        current pace, so a slowdown that the pace shows must not be learned as
+        well. Only a part of the elapsed time grows with the pace, as nested
+        calls run elsewhere. At the usual pace the answer would have taken
+        between `elapsed_s / pace` and `elapsed_s`; the estimate moves only if
+        it is outside of this range.
+
+        Args:
+            service: The service that was called.
+            node_id: The guard.
+            class_name: Class of the request.
+            elapsed_s: Time to the answer.
+            now_s: The current time.
+            pace: Pace of the backend server that came with the answer.
+        """
         if node_id in self._failure_rates:
             self._update_failure_rate(node_id, 0.0, now_s)
         estimate = self._class_of(service, class_name)
@@ -80,8 +97,14 @@
             estimate.typical_s = elapsed_s
             return
         sample = min(_MAX_SAMPLE, elapsed_s / typical_s)
+        previous = self._relative_latencies.get(node_id)
+        if pace > 1.0:
+            elapsed_s = min(elapsed_s, max(elapsed_s / pace, typical_s))
+            expected = 1.0 if previous is None else previous
+            sample = min(sample, max(sample / pace, expected))
         estimate.typical_s += _TYPICAL_WEIGHT * (elapsed_s - typical_s)
-        previous = self._relative_latencies.get(node_id, sample)
+        if previous is None:
+            previous = sample
         self._relative_latencies[node_id] = previous + _LATENCY_WEIGHT * (
             sample - previous
         )
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -23,6 +23,15 @@
 _MAX_PROBE_INTERVAL_S = 8.0
 _MIN_USABLE_SHARE = 0.5
 _LOAD_DECAY_S = 1.0
+# A reported pace counts in full up to the first age, and not at all from the
+# second: machines are slow for about 0.6 s at a time, and a server that is
+# avoided sends no report when it is fast again.
+_PACE_KEPT_S = 0.25
+_PACE_EXPIRES_S = 0.75
+# Bounds of the pace that is used. A server gains no preference by a low one,
+# and a high one takes no server out of use.
+_MIN_PACE = 1.0
+_MAX_PACE = 10.0
 _DRAINING_FRESH_S = 5.0
 # Bounds of the random factor on the time that a limited guard is avoided, so
 # that routers that were refused at the same moment do not return together.
@@ -63,6 +72,8 @@
     unanswered: int = 0
     load: float = 0.0
     load_at_s: float = -1e9
+    pace: float = 1.0
+    pace_at_s: float = -1e9
     ejected: bool = False
     probe_interval_s: float = _MIN_PROBE_INTERVAL_S
     probe_at_s: float = 0.0
@@ -205,6 +216,20 @@
             state.draining_at_s = now_s
             self._candidates.clear()
 
+    def record_pace(self, node_id: str, pace: float, now_s: float) -> None:
+        """Records the pace of a backend server.
+
+        Args:
+            node_id: The guard.
+            pace: How long work takes at the backend server now, relative to its
+                usual time.
+            now_s: The current time.
+        """
+        state = self._states.get(node_id)
+        if state is not None:
+            state.pace = pace
+            state.pace_at_s = now_s
+
     def record_limited(
         self, node_id: str, retry_after_s: float, now_s: float
     ) -> bool:
@@ -319,6 +344,21 @@
         slots = max(1, target.slots)
         return (state.in_flight + 1) / slots + weight * state.load
 
+    def pace(self, node_id: str, now_s: float) -> float:
+        """Returns the pace of a backend server, at least 1.0.
+
+        It loses weight with the age of the report; 1.0 if unknown.
+        """
+        state = self._states.get(node_id)
+        if state is None or state.pace <= _MIN_PACE:
+            return _MIN_PACE
+        left_s = _PACE_EXPIRES_S - (now_s - state.pace_at_s)
+        if left_s <= 0.0:
+            return _MIN_PACE
+        weight = min(1.0, left_s / (_PACE_EXPIRES_S - _PACE_KEPT_S))
+        pace = min(_MAX_PACE, state.pace)
+        return _MIN_PACE + weight * (pace - _MIN_PACE)
+
     def _select_candidates(
         self, service: str, tried: frozenset[str], now_s: float
     ) -> Candidates:
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -187,6 +187,7 @@
         return (
             typical_s
             * self.estimates.relative_latency(target.node_id)
+            * self.pace(target.node_id, now_s)
             * (1.0 + waiting)
         )
 
