Model a scarce deep service, slow spells and waves between data centres

The site model had servers that are slow for the whole of a trouble, and callers spread evenly over the nodes. The choice of server is compared with spells of 0.6 s that a drawn share of machines has in turn, demand that swings between data centres, and a deep service of four uneven servers that requests call four times in turn. Servers report their pace on answers. A result tells the usage of each server and the calls between data centres.

Existing sheets and troubles draw the same random numbers as before.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
@@ -24,6 +24,8 @@
         useful: Share of the used slot time that went into good answers.
         over_limit: Servers that got more than they had named.
         after_leaving: Requests for servers that had said that they leave.
+        usage: Share of the slot time of each server that was used.
+        far_calls: Calls to other data centres.
     """
 
     tallies: dict[str, Tally]
@@ -31,3 +33,5 @@
     useful: float
     over_limit: int = 0
     after_leaving: int = 0
+    usage: dict[str, float] = dataclasses.field(default_factory=dict)
+    far_calls: int = 0
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/servers.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/servers.py
@@ -110,6 +110,15 @@
             bool(self._struck("leave")), min(limits, default=None)
         )
 
+    def pace(self) -> float:
+        """Returns how long work takes now, relative to its usual time."""
+        pace = 1.0
+        if self._in_use > self._service.knee * self._service.slots:
+            pace *= self._service.knee_x
+        for trouble in self._struck("spells"):
+            pace *= trouble.x
+        return pace
+
     async def _work(self, attempt: calls.Attempt) -> int:
         request_class = self._classes[attempt.context.class_name]
         await asyncio.sleep(self._work_s(request_class.work_s))
@@ -144,8 +153,7 @@
     def _work_s(self, usual_s: float) -> float:
         factor = self._rng.lognormvariate(-_SPREAD * _SPREAD / 2, _SPREAD)
         work_s = usual_s * factor / self._speed
-        if self._in_use > self._service.knee * self._service.slots:
-            work_s *= self._service.knee_x
+        work_s *= self.pace()
         for trouble in self._struck("slow"):
             work_s *= trouble.x
         return work_s
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/sheet.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/sheet.py
@@ -78,8 +78,10 @@
         kind: `burst` (of all callers), `slow`, `shed` (servers refuse a part
             of what they get), `lost` (nodes and servers are gone), `limit`
             (servers name on their answers how much they take), `leave` (they
-            say there that they leave) or `anew` (the processes of nodes are
-            replaced, at the beginning).
+            say there that they leave), `anew` (the processes of nodes are
+            replaced, at the beginning), `spells` (of 0.6 s, in which servers
+            are slow by the factor and their guards report it) or `waves`
+            (demand swings by the part between data centres, every 15 s).
         at_s: From the start of traffic.
         for_s: How long.
         x: Factor, or the part that is refused, or requests a second.
@@ -118,6 +120,39 @@
     far_s: float = 0.001
 
 
+def scarce() -> Sheet:
+    """Returns a site whose deep service has four uneven servers.
+
+    Its callers need three quarters of what these servers can do, and make four
+    calls of them one after the other. It has a fifth of the size of a real one.
+    """
+    return Sheet(
+        services=(
+            Service("entry", 21, 20, (0.8, 1.0, 1.2)),
+            Service("middle", 24, 20, (0.8, 1.0, 1.2)),
+            Service("deep", 4, 17, (0.6, 1.0, 1.4), 0.95, 1.3),
+        ),
+        classes=(
+            RequestClass(
+                "order",
+                "entry",
+                0.01,
+                0.6,
+                1.2,
+                1,
+                rate_per_s=230.0,
+                calls=(Calls("quote", 1),),
+            ),
+            RequestClass("look", "entry", 0.05, 0.3, 1.2, 2, rate_per_s=200.0),
+            RequestClass(
+                "quote", "middle", 0.02, 0.6, 1.2, 1, calls=(Calls("rule", 4),)
+            ),
+            RequestClass("rule", "deep", 0.05, 0.3, 1.0, 1),
+        ),
+        data_centers=("dc1", "dc2", "dc3"),
+    )
+
+
 def evening(size: int = 1) -> Sheet:
     """Returns a small evening of enrolments, whose fees service is short."""
     fee_calls = (Calls("fee-rule", 4),)
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 import time
 from typing import Any
@@ -26,6 +27,8 @@
 # Of the time that is left a caller waits as told, but no longer.
 _PATIENCE_SHARE = 1.0 / 3.0
 _LATE_LIMIT = 500
+_SPELL_S = 0.6
+_WAVE_S = 15.0
 
 
 class Site:
@@ -85,6 +88,17 @@
             useful_s / max(1e-9, used_s),
             len(self._terms.over_limit()),
             self._terms.after_leaving,
+            {
+                node.place.node_id: (
+                    node.server.useful_s + node.server.wasted_s
+                )
+                / (node.place.service.slots * length_s)
+                for node in self._nodes.values()
+            },
+            sum(
+                node.dispatcher.counters.far_calls
+                for node in self._nodes.values()
+            ),
         )
 
     async def _tick_forever(self, node: nodes_lib.ModelNode) -> None:
@@ -145,7 +159,11 @@
         luck = rng.random()
 
         def struck(kind: str) -> list[sheet_lib.Trouble]:
-            return self._struck(kind, place.service.name, luck)
+            if kind != "spells":
+                return self._struck(kind, place.service.name, luck)
+            spell = int((time.monotonic() - self._began_s) / _SPELL_S)
+            drawn = random.Random(f"{luck} {spell}").random()
+            return self._struck(kind, place.service.name, drawn)
 
         return servers_lib.ModelServer(
             place.service,
@@ -211,8 +229,9 @@
                 answer = await node.guard.handle(received)
         except TimeoutError:
             raise nodes_lib.lost(target) from None
+        pace = node.server.pace()
         await asyncio.sleep(way_s)
-        return dataclasses.replace(answer)
+        return dataclasses.replace(answer, pace=pace)
 
     def _is_lost(self, node: nodes_lib.ModelNode) -> bool:
         return bool(node.server._struck("lost"))
@@ -265,10 +284,30 @@
         rng: random.Random,
     ) -> outcomes.Answer:
         standing = [n for n in self._nodes.values() if not self._is_lost(n)]
-        node = rng.choice(standing)
+        node = self._drawn(standing, rng)
         left_s = began_s + request_class.deadline_s - time.monotonic()
         return await node.ask(request_class, request_id, left_s)
 
+    def _drawn(
+        self, standing: list[nodes_lib.ModelNode], rng: random.Random
+    ) -> nodes_lib.ModelNode:
+        now_s = time.monotonic() - self._began_s
+        for trouble in self._troubles:
+            if trouble.kind == "waves" and trouble.lasts(now_s):
+                break
+        else:
+            return rng.choice(standing)
+        names = self._sheet.data_centers
+        weights = {
+            name: 1.0
+            + trouble.x
+            * math.sin(math.tau * (now_s / _WAVE_S + number / len(names)))
+            for number, name in enumerate(names)
+        }
+        return rng.choices(
+            standing, [weights[node.place.data_center] for node in standing]
+        )[0]
+
     def _count(
         self,
         request_class: sheet_lib.RequestClass,
