Let calls leave a full near guard for a far one with room

A near guard kept its calls until the chance of an answer in time fell by more than 0.1, so its calls waited and its level fell while other data centres had free slots. Calls now leave a guard from 95% of its slots on, in proportion to the difference in load, for a far guard below 85%, if both loads were reported within 0.3 s and the difference outweighs the transfer. Calls that leave by their chance of an answer in time do so in proportion to the room of the far guard: all routers used to send there until they saw a queue. The load of a far guard that reported nothing lately is learned with one call at a time.

--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -23,6 +23,9 @@
 _MAX_PROBE_INTERVAL_S = 8.0
 _MIN_USABLE_SHARE = 0.5
 _LOAD_DECAY_S = 1.0
+# A load that decides about other data centres is at most this old: a few times
+# what a call takes.
+_LOAD_FRESH_S = 0.3
 # A reported pace counts in full up to the first age, and not at all from the
 # second: machines are slow for about 0.6 s at a time, and a server that is
 # avoided sends no report when it is fast again.
@@ -344,6 +347,29 @@
         slots = max(1, target.slots)
         return (state.in_flight + 1) / slots + weight * state.load
 
+    def fresh_load(self, target: Target, now_s: float) -> float | None:
+        """Returns the load per slot of a guard with one more call.
+
+        The reported load includes the calls of this router that had arrived
+        then, so the larger one of it and the calls in flight counts. None if
+        there is no fresh report.
+        """
+        state = self._states[target.node_id]
+        if now_s - state.load_at_s > _LOAD_FRESH_S:
+            return None
+        slots = max(1, target.slots)
+        return max(state.load, state.in_flight / slots) + 1 / slots
+
+    def faded_load(self, node_id: str, now_s: float) -> float:
+        """Returns the last reported load of a guard; 0 after a second."""
+        state = self._states[node_id]
+        is_old = now_s - state.load_at_s > _LOAD_DECAY_S
+        return 0.0 if is_old else state.load
+
+    def is_idle(self, node_id: str) -> bool:
+        """Returns whether this router has no call in flight at a guard."""
+        return self._states[node_id].in_flight == 0
+
     def pace(self, node_id: str, now_s: float) -> float:
         """Returns the pace of a backend server, at least 1.0.
 
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -38,6 +38,20 @@
 # Largest loss in the probability of an answer in time, one answer in twenty,
 # that is accepted to save transfer costs.
 _MAX_LOSS = 0.05
+# A near guard gives way from this share of its slots, before calls wait:
+# machines whose slots are all in use work more slowly.
+_FULL_SHARE = 0.95
+# Share of its slots below which a far guard has room for calls from other data
+# centres. The gap between both keeps calls from moving between guards that are
+# about equally full.
+_ROOM_SHARE = 0.85
+_LEAVING_GAIN = 2.0
+# Where a far guard has this share of its slots free, all calls that gain by it
+# go there; fewer do where it has less.
+_ROOM_RAMP = 0.3
+# Difference in the share of failures for which calls also leave for a far guard
+# that is full.
+_FAILURES_WORTH_A_QUEUE = 0.3
 # Typical answer time of a class without samples.
 _DEFAULT_TYPICAL_S = 0.05
 
@@ -133,7 +147,12 @@
         gain = self._success_probability(other, typical_s, limit_s, now_s)
         gain -= self._success_probability(best, typical_s, limit_s, now_s)
         transfer_kb = self.estimates.kb_of(service, class_name)
-        if gain > max(_MIN_GAIN, transfer_kb / _KB_PER_ANSWER):
+        price = transfer_kb / _KB_PER_ANSWER
+        if gain > max(_MIN_GAIN, price):
+            if self._fails_more(best, other, now_s):
+                return other
+            return other if self._has_room(best, other, now_s) else best
+        if gain >= -_MIN_GAIN and self._gives_way(best, other, price, now_s):
             return other
         loses_answers = gain < -_MAX_LOSS
         if not loses_answers and self._saves_transfer(
@@ -155,6 +174,76 @@
             target.node_id, expected_s, limit_s, now_s
         )
 
+    def _fails_more(
+        self, near: guards.Target, far: guards.Target, now_s: float
+    ) -> bool:
+        """Returns whether failures are worth a place in a far queue."""
+        share = self.estimates.failure_rate(near.node_id, now_s)
+        if share <= _FAILURES_WORTH_A_QUEUE:
+            return False
+        share -= self.estimates.failure_rate(far.node_id, now_s)
+        return share > _FAILURES_WORTH_A_QUEUE
+
+    def _has_room(
+        self, near: guards.Target, far: guards.Target, now_s: float
+    ) -> bool:
+        """Returns whether a far guard takes one more call.
+
+        Fewer calls go there the fuller it is: if all routers sent until they
+        saw it full, it would have a queue when the reports reach them. Where
+        only the near guard has a fresh report, calls go to the far one one at a
+        time, and the first answer tells its load.
+        """
+        load = self.fresh_load(far, now_s)
+        if load is not None:
+            return self._rng.random() * _ROOM_RAMP < _FULL_SHARE - load
+        return self.fresh_load(near, now_s) is None or self._asks_load(
+            far, now_s
+        )
+
+    def _asks_load(self, far: guards.Target, now_s: float) -> bool:
+        """Returns whether a call goes to a far guard to learn its load.
+
+        One at a time, and only after a while where it was full last: in an
+        overload of all data centres these calls cause transfers in vain.
+        """
+        if not self.is_idle(far.node_id):
+            return False
+        return self.faded_load(far.node_id, now_s) < _ROOM_SHARE
+
+    def _gives_way(
+        self,
+        near: guards.Target,
+        far: guards.Target,
+        price: float,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a call leaves a full near guard for a far one.
+
+        Calls leave in proportion to the difference in load, so that routers
+        that see the same reports do not all choose the same far guard. Only
+        fresh loads count. A router that has calls at the near guard and does
+        not know the load of the far one sends one call at a time to learn it.
+
+        Args:
+            near: The guard in this data centre.
+            far: The guard in another data centre.
+            price: Cost of the transfer, in load per slot.
+            now_s: The current time.
+        """
+        near_load = self.fresh_load(near, now_s)
+        if near_load is None or near_load < _FULL_SHARE:
+            return False
+        far_load = self.fresh_load(far, now_s)
+        if far_load is None:
+            return not self.is_idle(near.node_id) and self._asks_load(
+                far, now_s
+            )
+        if far_load >= _ROOM_SHARE:
+            return False
+        difference = near_load - far_load - price
+        return self._rng.random() * near_load < difference * _LEAVING_GAIN
+
     def _saves_transfer(
         self,
         near: guards.Target,
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -1,11 +1,13 @@
 """Choice among the servers of a service by pace, load and learned latency."""
 
+import math
 import random
 
 import pytest
 
 from burdockfront import routing
 from tests import builders
+from tests import choice_model
 
 _CLASS = "rule"
 
@@ -121,3 +123,211 @@
     router = _router("a")
     router.record_pace("gone", 5.0, 1.0)
     assert router.pace("gone", 1.0) == 1.0
+
+
+def _two_data_centers(**changes: object) -> routing.Router:
+    router = routing.Router("dc1", random.Random(3))
+    router.update(
+        [
+            builders.a_target("near", data_center="dc1", slots=40),
+            builders.a_target("far", data_center="dc2", slots=40, **changes),
+        ]
+    )
+    return router
+
+
+def test_call_leaves_a_full_near_guard_before_calls_wait():
+    # Failure: one of four servers of a deep service had 1.6 times the mean
+    # load. Its calls waited and its level fell while others had free slots.
+    router = _two_data_centers()
+    router.record_answer("near", 1.0, False, 1.0)
+    router.record_answer("far", 0.3, False, 1.0)
+    assert _share(router, "far", 1.0) > 0.3
+
+
+def test_no_call_leaves_while_slots_are_free():
+    router = _two_data_centers()
+    for load in (0.0, 0.3, 0.6, 0.9):
+        router.record_answer("near", load, False, 1.0)
+        router.record_answer("far", 0.0, False, 1.0)
+        assert _share(router, "far", 1.0) == 0.0
+
+
+def test_no_call_leaves_when_all_data_centers_are_full_alike():
+    # Failure: in an overload of all data centres, each sends calls to the
+    # others, and pays for the transfer without any gain.
+    router = _two_data_centers()
+    for load in (0.95, 1.0, 1.5, 3.0):
+        router.record_answer("near", load, False, 1.0)
+        router.record_answer("far", load, False, 1.0)
+        assert _share(router, "far", 1.0) == 0.0
+
+
+def test_load_of_a_far_guard_is_learned_with_one_call_at_a_time():
+    # Failure: all calls of all routers leave for a far guard whose last report
+    # is old, and it is full when their answers show it.
+    router = _two_data_centers()
+    router.record_answer("near", 1.0, False, 1.0)
+    for _ in range(5):
+        router.record_sent("near")
+    assert _share(router, "far", 1.0) == 1.0
+    router.record_sent("far")
+    assert _share(router, "far", 1.0) == 0.0
+
+
+@pytest.mark.parametrize("silent_s", [2.0, 10.0, 1e6])
+def test_full_guard_without_fresh_reports_keeps_its_calls(silent_s):
+    # Failure: the reports of guards stop, for two seconds, ten, or for good,
+    # and calls leave by what was reported last.
+    router = _two_data_centers()
+    router.record_answer("near", 1.0, False, 1.0)
+    router.record_answer("far", 0.3, False, 1.0)
+    assert _share(router, "far", 1.0 + silent_s) == 0.0
+
+
+def test_large_calls_stay_near_for_a_small_difference_in_load():
+    # Failure: calls of 10 KB leave their data centre for waits of milliseconds.
+    router = _two_data_centers()
+    router.record_answer("near", 1.0, False, 1.0)
+    router.record_answer("far", 0.6, False, 1.0)
+    assert _share(router, "far", 1.0) > 0.1
+    for _ in range(100):
+        router.estimates.record_size("fees", _CLASS, 10.0)
+    assert _share(router, "far", 1.0) == 0.0
+
+
+def test_calls_do_not_all_leave_for_a_far_guard_that_gets_full():
+    # Failure: a near server is slow, all routers send to the far one until they
+    # see a queue there, and then all return at once.
+    router = _two_data_centers()
+    _answers(router, {"near": 0.2, "far": 0.1})
+    shares = []
+    for load in (0.5, 0.75, 0.95):
+        router.record_answer("near", 0.5, False, 1.0)
+        router.record_answer("far", load, False, 1.0)
+        shares.append(_share(router, "far", 1.0, limit_s=0.25))
+    assert shares[0] == 1.0
+    assert 0.3 < shares[1] < 0.8
+    assert shares[2] == 0.0
+
+
+def _three_data_centers() -> list[choice_model.Server]:
+    return [
+        choice_model.a_server("d1", data_center="dc1", slots=80),
+        choice_model.a_server("d2", data_center="dc2", slots=80),
+        choice_model.a_server("d3", data_center="dc3", slots=80),
+    ]
+
+
+_ROUTERS = {"dc1": 23, "dc2": 23, "dc3": 24}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_seventy_routers_share_the_load_of_a_full_data_center(seed):
+    # Failure: demand shifts to one data centre. Its calls wait while others
+    # have free slots, or all routers choose the same far guard and fill that
+    # one.
+    model = choice_model.Model(
+        _three_data_centers(),
+        _ROUTERS,
+        lambda name, now_s: (
+            2200 if name == "dc1" and 2.0 <= now_s < 5.0 else 800
+        ),
+        seed,
+    )
+    result = model.run(7.0)
+    assert result.far_share(0.5, 2.0) < 0.01
+    assert result.far_share(6.0, 7.0) < 0.01
+    assert result.mean_load("d1", 2.5, 5.0) < 1.1
+    assert max(result.max_load(name, 2.0, 5.0) for name in ("d2", "d3")) < 1.25
+    second = result.count("d2", 2.5, 5.0)
+    third = result.count("d3", 2.5, 5.0)
+    assert 0.8 < second / third < 1.25
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_load_moves_when_a_server_gets_slow_and_returns(seed):
+    # Failure: a near server works at 1/2.5 of its speed. Its calls are late for
+    # seconds, or move back and forth between the data centres.
+    servers = _three_data_centers()
+    servers[0].pace = lambda now_s: 2.5 if 2.0 <= now_s < 4.0 else 1.0
+    model = choice_model.Model(
+        servers, _ROUTERS, lambda name, now_s: 900.0, seed
+    )
+    result = model.run(6.0)
+    assert result.far_share(0.5, 2.0) < 0.01
+    assert result.far_share(2.3, 4.0) > 0.1
+    shares = [
+        result.far_share(2.5 + step * 0.25, 2.75 + step * 0.25)
+        for step in range(6)
+    ]
+    assert max(shares) < 2 * min(shares)
+    for name in ("d1", "d2", "d3"):
+        assert result.max_load(name, 2.3, 4.0) < 1.15
+    assert result.far_share(5.0, 6.0) < 0.01
+
+
+def test_no_bytes_leave_in_an_overload_of_all_data_centers():
+    # Failure: all data centres are full alike, and calls leave each of them for
+    # the others without any gain.
+    model = choice_model.Model(
+        _three_data_centers(), _ROUTERS, lambda name, now_s: 1700.0
+    )
+    result = model.run(3.0)
+    assert result.mean_load("d1", 1.5, 3.0) > 1.0
+    # Each router sends one call per second to a far guard to learn its load.
+    assert result.far_share(1.5, 3.0) < 0.04
+
+
+def test_waves_between_data_centers_are_shared():
+    # Failure: demand swings between data centres by 55%, and each is full in
+    # turn while the others have free slots.
+    names = list(_ROUTERS)
+
+    def rate(name: str, now_s: float) -> float:
+        phase = now_s / 15.0 + names.index(name) / 3.0
+        return 1150.0 * (1.0 + 0.55 * math.sin(math.tau * phase))
+
+    model = choice_model.Model(_three_data_centers(), _ROUTERS, rate)
+    result = model.run(15.0)
+    for name in ("d1", "d2", "d3"):
+        assert result.max_load(name, 0.5, 15.0) < 1.25
+    assert result.mean_latency_s(0.5, 15.0) < 0.07
+
+
+def test_choice_without_reports_is_as_before():
+    # Failure: a deployment whose guards report neither load nor pace is served
+    # differently. The sequence is that of commit c3594c4.
+    router = routing.Router("dc1", random.Random(11))
+    router.update(
+        builders.a_target(
+            str(number), data_center="dc1" if number < 3 else "dc2"
+        )
+        for number in range(6)
+    )
+    draws = random.Random(5)
+    sent: list[str] = []
+    chosen = ""
+    for step in range(150):
+        now_s = 1.0 + step / 100
+        target = router.choose(
+            "fees", frozenset(), now_s, class_name=_CLASS, limit_s=0.2
+        )
+        chosen += target.node_id
+        router.record_sent(target.node_id)
+        sent.append(target.node_id)
+        if len(sent) <= 8:
+            continue
+        answered = sent.pop(0)
+        router.estimates.record_answer(
+            "fees", answered, _CLASS, draws.uniform(0.05, 0.3), now_s
+        )
+        if draws.random() < 0.2:
+            router.estimates.record_failure(answered, now_s)
+        router.record_answer(answered, None, False, now_s)
+        router.record_pace(answered, 1.0, now_s)
+    assert chosen == (
+        "120010120114004430305303553033300303022030030330013200033001302200221"
+        "030033032030103033030120021020211101302211101202010110102012201001121"
+        "001001311001"
+    )
