Weigh load by speed among near guards, and do not flood one that joins

Of two near guards that are about equally likely to answer in time, the one with the lower load per slot got the call, also when its machine was at 1/2.5 of its speed. The load now counts by the learned latency and the pace of the server: the lower (1 + load) * latency * pace gets the call. This applies only where guards have reported a load.

A server that joined seemed idle to all routers until its first answers. A guard that starts again with a new boot id loses its learned latency as well.

--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -23,6 +23,7 @@
 _MAX_PROBE_INTERVAL_S = 8.0
 _MIN_USABLE_SHARE = 0.5
 _LOAD_DECAY_S = 1.0
+_NEVER_S = -1e9
 # A load that decides about other data centres is at most this old: a few times
 # what a call takes.
 _LOAD_FRESH_S = 0.3
@@ -74,7 +75,7 @@
     in_flight: int = 0
     unanswered: int = 0
     load: float = 0.0
-    load_at_s: float = -1e9
+    load_at_s: float = _NEVER_S
     pace: float = 1.0
     pace_at_s: float = -1e9
     ejected: bool = False
@@ -127,6 +128,7 @@
             state = self._states.get(target.node_id)
             if state is None or state.boot_id != target.boot_id:
                 self._states[target.node_id] = _State(target.boot_id)
+                self.forget(target.node_id)
         self._targets = by_service
         self._candidates.clear()
         known = {name for group in by_service.values() for name in group}
@@ -136,7 +138,7 @@
                 self.forget(node_id)
 
     def forget(self, node_id: str) -> None:
-        """Drops further state of a guard that has left; for subclasses."""
+        """Drops further state of a guard that has left or restarted."""
 
     def is_far(self, target: Target) -> bool:
         """Returns whether a guard is in another data centre."""
@@ -360,6 +362,15 @@
         slots = max(1, target.slots)
         return max(state.load, state.in_flight / slots) + 1 / slots
 
+    def has_reported(self, node_id: str) -> bool:
+        """Returns whether a guard has reported its load."""
+        return self._states[node_id].load_at_s > _NEVER_S
+
+    def own_load(self, target: Target) -> float:
+        """Returns this router's calls in flight per slot, and one more."""
+        in_flight = self._states[target.node_id].in_flight
+        return (in_flight + 1) / max(1, target.slots)
+
     def faded_load(self, node_id: str, now_s: float) -> float:
         """Returns the last reported load of a guard; 0 after a second."""
         state = self._states[node_id]
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -74,7 +74,7 @@
         self.transfer_costs = transfer_costs.ReportedTransferCosts()
 
     def forget(self, node_id: str) -> None:
-        """Drops the estimates and reports of a guard that has left."""
+        """Drops the estimates of a guard that has left or restarted."""
         self.estimates.forget(node_id)
         self.transfer_costs.forget(node_id)
 
@@ -323,6 +323,32 @@
             return first
         if gain < -_MIN_GAIN:
             return second
-        if self.score(first, now_s) <= self.score(second, now_s):
-            return first
-        return second
+        return self._sooner(first, second, now_s)
+
+    def _sooner(
+        self, first: guards.Target, second: guards.Target, now_s: float
+    ) -> guards.Target:
+        """Returns the guard that has the lower load, weighed by its speed.
+
+        Where only one of both has ever reported its load, the other one has
+        just joined and seems idle to all routers. It gets its usual share, by
+        the router's own calls, until its first answers.
+        """
+        first_reports = self.has_reported(first.node_id)
+        if first_reports != self.has_reported(second.node_id):
+            is_first = self.own_load(first) <= self.own_load(second)
+            return first if is_first else second
+        first_cost = self.score(first, now_s)
+        second_cost = self.score(second, now_s)
+        if first_reports:
+            first_cost = self._weighed(first, first_cost, now_s)
+            second_cost = self._weighed(second, second_cost, now_s)
+        return first if first_cost <= second_cost else second
+
+    def _weighed(
+        self, target: guards.Target, load: float, now_s: float
+    ) -> float:
+        """Returns a load in relative time to an answer."""
+        node_id = target.node_id
+        latency = self.estimates.relative_latency(node_id)
+        return (1.0 + load) * latency * self.pace(node_id, now_s)
--- a/tests/choice_model.py
+++ b/tests/choice_model.py
@@ -88,7 +88,7 @@
     def max_load(self, server: str, from_s: float, until_s: float) -> float:
         """Returns the highest load of a server."""
         return max(
-            loads[server]
+            loads.get(server, 0.0)
             for at_s, loads in self.loads
             if from_s <= at_s < until_s
         )
@@ -96,7 +96,7 @@
     def mean_load(self, server: str, from_s: float, until_s: float) -> float:
         """Returns the mean load of a server."""
         found = [
-            loads[server]
+            loads.get(server, 0.0)
             for at_s, loads in self.loads
             if from_s <= at_s < until_s
         ]
@@ -157,6 +157,11 @@
             for router in group:
                 router.update(targets)
 
+    def add(self, server: Server) -> None:
+        """Adds a server that all routers learn of at once."""
+        self.servers[server.target.node_id] = server
+        self.update()
+
     def at(self, at_s: float, action: Callable[[float], None]) -> None:
         """Runs an action at a time."""
         heapq.heappush(self._events, (at_s, next(self._numbers), action))
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -331,3 +331,62 @@
         "030033032030103033030120021020211101302211101202010110102012201001121"
         "001001311001"
     )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(("others", "slots"), [(1, 80), (2, 80), (8, 20)])
+def test_joining_server_gets_work_and_is_not_flooded(others, slots, seed):
+    # Failure: a server that has just joined seems idle to all routers. It gets
+    # twice as many calls as it has slots, while it still warms up at half of
+    # its speed.
+    servers = [
+        choice_model.a_server(f"d{number}", slots=slots)
+        for number in range(others)
+    ]
+    rate = 0.6 * others * slots / 0.05
+    model = choice_model.Model(
+        servers, {"dc1": 23}, lambda name, now_s: rate, seed
+    )
+    new = choice_model.a_server(
+        "new", slots=slots, pace=lambda now_s: 2.0 if now_s < 5.0 else 1.0
+    )
+    model.at(2.0, lambda now_s: model.add(new))
+    result = model.run(6.0)
+    usual = len([one for one in result.sent if 2.0 <= one.at_s < 3.0])
+    usual /= others + 1
+    assert 0.1 * usual < result.count("new", 2.0, 3.0) < 0.8 * usual
+    assert result.max_load("new", 2.0, 6.0) < 1.25
+    assert result.count("new", 5.25, 6.0) > 0.4 * usual * 0.75
+
+
+def test_restarted_server_starts_unknown():
+    # Failure: a server was slow and full when its process ended, and the new
+    # process under its id is avoided for it.
+    router = _router("a", "b")
+    _answers(router, {"a": 0.5, "b": 0.1})
+    router.record_answer("a", 3.0, False, 1.0)
+    router.record_pace("a", 5.0, 1.0)
+    router.update(
+        [
+            builders.a_target("a", boot_id="a-2", slots=8),
+            builders.a_target("b", slots=8),
+        ]
+    )
+    assert router.estimates.relative_latency("a") == 1.0
+    assert router.estimates.relative_latency("b") < 1.0
+    assert not router.has_reported("a")
+    assert 0.3 < _share(router, "a", 1.0, limit_s=2.0) < 0.7
+
+
+def test_of_two_near_servers_the_slower_one_gets_less_work():
+    # Failure: the machine of one server is at 1/2.5 of its speed for 0.6 s. Its
+    # answers would still be in time, so it gets as many calls as before.
+    router = _router("a", "b")
+    _answers(router, {"a": 0.02, "b": 0.02})
+    for name in ("a", "b"):
+        router.record_answer(name, 0.3, False, 1.0)
+    router.record_pace("a", 2.5, 1.0)
+    assert _share(router, "a", 1.0) == 0.0
+    # It is in use again where the other one is full.
+    router.record_answer("b", 4.0, False, 1.0)
+    assert _share(router, "a", 1.0) > 0.5
