Show operators which server gets which calls, and why

`show servers SERVICE at NODE` lists, for each server of a service, the share of the node's calls, the calls in flight, the load and the pace as last reported with their ages, the learned latency and the share of failures. It asks one node, since each router has its own view. A router counts the calls to each guard in its state; no function call is added to a relayed request.

--- a/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
@@ -2,7 +2,7 @@
 
 show members | show nodes | show policy SERVICE | show levels
 show quarantine | show limits
-show accounts
+show accounts | show servers SERVICE at NODE
 why request ID | why class NAME at SERVICE | why node NAME
 timeline [request ID] [node NAME] [dc NAME] [kind KIND] [last N]
 history SERVICE
@@ -29,6 +29,7 @@
     | "show" "quarantine" -> show_quarantine
     | "show" "limits" -> show_limits
     | "show" "accounts" -> show_accounts
+    | "show" "servers" WORD "at" WORD -> show_servers
     | "show" "policy" WORD -> show_policy
 why: "why" "request" WORD -> why_request
    | "why" "class" WORD "at" WORD -> why_class
@@ -84,6 +85,14 @@
     name: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowServers:
+    """`show servers SERVICE at NODE`."""
+
+    service: str
+    node: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Why:
     """`why KIND NAME [at SERVICE]`."""
@@ -143,7 +152,17 @@
     change_id: str
 
 
-Command = Show | Why | Timeline | History | SetPolicy | Drain | Release | Verify
+Command = (
+    Show
+    | ShowServers
+    | Why
+    | Timeline
+    | History
+    | SetPolicy
+    | Drain
+    | Release
+    | Verify
+)
 
 
 class _ToCommand(lark.Transformer[lark.Token, Command]):
@@ -167,6 +186,9 @@
     def show_quarantine(self, _: Any) -> Show:
         return Show("quarantine")
 
+    def show_servers(self, items: Any) -> ShowServers:
+        return ShowServers(str(items[0]), str(items[1]))
+
     def show_policy(self, items: Any) -> Show:
         return Show("policy", str(items[0]))
 
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
@@ -17,6 +17,7 @@
 from burdockfront_ctl import nodes as nodes_lib
 from burdockfront_ctl import queries
 from burdockfront_ctl import render
+from burdockfront_ctl import servers
 from burdockfront_ctl import settings as settings_lib
 
 app = cyclopts.App(
@@ -115,6 +116,8 @@
         match command:
             case language.Show():
                 return await queries.show(nodes, command)
+            case language.ShowServers():
+                return await servers.show(nodes, command)
             case language.Why():
                 return await queries.why(nodes, command)
             case language.Timeline():
--- a/packages/burdockfront-node/src/burdockfront_node/internal_handlers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_handlers.py
@@ -83,6 +83,7 @@
         return {
             "/operator/status": operators.status,
             "/operator/members": operators.members,
+            "/operator/servers": operators.servers,
             "/operator/policy": operators.policy,
             "/operator/change": operators.change,
             "/operator/history": operators.history,
--- a/packages/burdockfront-node/src/burdockfront_node/operators.py
+++ b/packages/burdockfront-node/src/burdockfront_node/operators.py
@@ -77,6 +77,39 @@
             ]
         }
 
+    async def servers(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Returns what this node's router knows of the servers of a service."""
+        router = self._parts.dispatcher.router
+        now_s = time.monotonic()
+        views = router.views(str(message["service"]), now_s)
+        sent = sum(view.sent for view in views)
+        return {
+            "servers": [
+                {
+                    "node": view.target.node_id,
+                    "data_center": view.target.data_center,
+                    "share": round(view.sent / max(1, sent), 3),
+                    "sent": view.sent,
+                    "in_flight": view.in_flight,
+                    "slots": view.target.slots,
+                    "load": _rounded(view.load),
+                    "load_age_s": _rounded(view.load_age_s),
+                    "pace": _rounded(view.pace),
+                    "pace_age_s": _rounded(view.pace_age_s),
+                    "latency": _rounded(
+                        router.estimates.relative_latency(view.target.node_id)
+                    ),
+                    "failures": _rounded(
+                        router.estimates.failure_rate(
+                            view.target.node_id, now_s
+                        )
+                    ),
+                    "ejected": view.ejected,
+                }
+                for view in views
+            ]
+        }
+
     async def policy(self, message: dict[str, Any]) -> dict[str, Any]:
         """Returns the policy document in effect for a service."""
         service = message["service"]
@@ -168,3 +201,7 @@
             who=str(message.get("who", "")),
         )
         return {"draining": self._parts.guard.draining}
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -73,11 +73,12 @@
 class _State:
     boot_id: str
     in_flight: int = 0
+    sent: int = 0
     unanswered: int = 0
     load: float = 0.0
     load_at_s: float = _NEVER_S
     pace: float = 1.0
-    pace_at_s: float = -1e9
+    pace_at_s: float = _NEVER_S
     ejected: bool = False
     probe_interval_s: float = _MIN_PROBE_INTERVAL_S
     probe_at_s: float = 0.0
@@ -85,6 +86,31 @@
     limited_until_s: float = -1e9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GuardView:
+    """What a router knows of a guard, for operators.
+
+    Attributes:
+        target: The guard.
+        sent: Calls sent to it since this router knows it.
+        in_flight: Calls of this router that await an answer.
+        load: Load that it reported last; None if never.
+        load_age_s: Age of that report in seconds; None if never.
+        pace: Pace that it reported last; None if never.
+        pace_age_s: Age of that report in seconds; None if never.
+        ejected: Whether it gets only probes.
+    """
+
+    target: Target
+    sent: int
+    in_flight: int
+    load: float | None
+    load_age_s: float | None
+    pace: float | None
+    pace_age_s: float | None
+    ejected: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidates:
     """The guards of a service that may get a call.
@@ -193,6 +219,7 @@
         state = self._states.get(node_id)
         if state is not None:
             state.in_flight += 1
+            state.sent += 1
 
     def record_answer(
         self, node_id: str, load: float | None, draining: bool, now_s: float
@@ -318,6 +345,27 @@
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
 
+    def views(self, service: str, now_s: float) -> list[GuardView]:
+        """Returns what this router knows of the guards of a service."""
+        found = []
+        for target in self.targets_of(service):
+            state = self._states[target.node_id]
+            has_load = state.load_at_s > _NEVER_S
+            has_pace = state.pace_at_s > _NEVER_S
+            found.append(
+                GuardView(
+                    target,
+                    state.sent,
+                    state.in_flight,
+                    state.load if has_load else None,
+                    now_s - state.load_at_s if has_load else None,
+                    state.pace if has_pace else None,
+                    now_s - state.pace_at_s if has_pace else None,
+                    state.ejected,
+                )
+            )
+        return found
+
     def ejected(self) -> list[str]:
         """Returns the ids of ejected guards."""
         return sorted(n for n, s in self._states.items() if s.ejected)
--- a/tests/unit/test_language.py
+++ b/tests/unit/test_language.py
@@ -34,6 +34,10 @@
         ("drain fees-1", language.Drain("fees-1", True)),
         ("show quarantine", language.Show("quarantine")),
         ("show limits", language.Show("limits")),
+        (
+            "show servers fees at entry-1",
+            language.ShowServers("fees", "entry-1"),
+        ),
         (
             "release 0123456789abcdef",
             language.Release("0123456789abcdef"),
