--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -157,7 +157,12 @@
         estimates.record_size(call.service, class_name, _size_kb(call, answer))
         if answer.status < _SERVER_ERROR:
             estimates.record_answer(
-                call.service, target.node_id, class_name, elapsed_s, now_s
+                call.service,
+                target.node_id,
+                class_name,
+                elapsed_s,
+                now_s,
+                answer.pace,
             )
 
     def _record_limit(
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -23,6 +23,19 @@
 _MAX_PROBE_INTERVAL_S = 8.0
 _MIN_USABLE_SHARE = 0.5
 _LOAD_DECAY_S = 1.0
+_NEVER_S = -1e9
+# A load that decides about other data centres is at most this old: a few times
+# what a call takes.
+_LOAD_FRESH_S = 0.3
+# A reported pace counts in full up to the first age, and not at all from the
+# second: machines are slow for about 0.6 s at a time, and a server that is
+# avoided sends no report when it is fast again.
+_PACE_KEPT_S = 0.25
+_PACE_EXPIRES_S = 0.75
+# Bounds of the pace that is used. A server gains no preference by a low one,
+# and a high one takes no server out of use.
+_MIN_PACE = 1.0
+_MAX_PACE = 10.0
 _DRAINING_FRESH_S = 5.0
 # Bounds of the random factor on the time that a limited guard is avoided, so
 # that routers that were refused at the same moment do not return together.
@@ -60,16 +73,42 @@
 class _State:
     boot_id: str
     in_flight: int = 0
+    sent: int = 0
     unanswered: int = 0
     load: float = 0.0
-    load_at_s: float = -1e9
+    load_at_s: float = _NEVER_S
+    pace: float = 1.0
+    pace_at_s: float = _NEVER_S
     ejected: bool = False
     probe_interval_s: float = _MIN_PROBE_INTERVAL_S
     probe_at_s: float = 0.0
     draining_at_s: float = -1e9
     limited_until_s: float = -1e9
-    pace: float = 1.0
-    pace_at_s: float = -1e9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GuardView:
+    """What a router knows of a guard, for operators.
+
+    Attributes:
+        target: The guard.
+        sent: Calls sent to it since this router knows it.
+        in_flight: Calls of this router that await an answer.
+        load: Load that it reported last; None if never.
+        load_age_s: Age of that report in seconds; None if never.
+        pace: Pace that it reported last; None if never.
+        pace_age_s: Age of that report in seconds; None if never.
+        ejected: Whether it gets only probes.
+    """
+
+    target: Target
+    sent: int
+    in_flight: int
+    load: float | None
+    load_age_s: float | None
+    pace: float | None
+    pace_age_s: float | None
+    ejected: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +154,7 @@
             state = self._states.get(target.node_id)
             if state is None or state.boot_id != target.boot_id:
                 self._states[target.node_id] = _State(target.boot_id)
+                self.forget(target.node_id)
         self._targets = by_service
         self._candidates.clear()
         known = {name for group in by_service.values() for name in group}
@@ -124,7 +164,7 @@
                 self.forget(node_id)
 
     def forget(self, node_id: str) -> None:
-        """Drops further state of a guard that has left; for subclasses."""
+        """Drops further state of a guard that has left or restarted."""
 
     def is_far(self, target: Target) -> bool:
         """Returns whether a guard is in another data centre."""
@@ -179,6 +219,7 @@
         state = self._states.get(node_id)
         if state is not None:
             state.in_flight += 1
+            state.sent += 1
 
     def record_answer(
         self, node_id: str, load: float | None, draining: bool, now_s: float
@@ -208,11 +249,12 @@
             self._candidates.clear()
 
     def record_pace(self, node_id: str, pace: float, now_s: float) -> None:
-        """Records how long work takes at a guard's backend server.
+        """Records the pace of a backend server.
 
         Args:
             node_id: The guard.
-            pace: The time that work takes, relative to its usual time.
+            pace: How long work takes at the backend server now, relative to its
+                usual time.
             now_s: The current time.
         """
         state = self._states.get(node_id)
@@ -303,6 +345,27 @@
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
 
+    def views(self, service: str, now_s: float) -> list[GuardView]:
+        """Returns what this router knows of the guards of a service."""
+        found = []
+        for target in self.targets_of(service):
+            state = self._states[target.node_id]
+            has_load = state.load_at_s > _NEVER_S
+            has_pace = state.pace_at_s > _NEVER_S
+            found.append(
+                GuardView(
+                    target,
+                    state.sent,
+                    state.in_flight,
+                    state.load if has_load else None,
+                    now_s - state.load_at_s if has_load else None,
+                    state.pace if has_pace else None,
+                    now_s - state.pace_at_s if has_pace else None,
+                    state.ejected,
+                )
+            )
+        return found
+
     def ejected(self) -> list[str]:
         """Returns the ids of ejected guards."""
         return sorted(n for n, s in self._states.items() if s.ejected)
@@ -334,6 +397,53 @@
         slots = max(1, target.slots)
         return (state.in_flight + 1) / slots + weight * state.load
 
+    def fresh_load(self, target: Target, now_s: float) -> float | None:
+        """Returns the load per slot of a guard with one more call.
+
+        The reported load includes the calls of this router that had arrived
+        then, so the larger one of it and the calls in flight counts. None if
+        there is no fresh report.
+        """
+        state = self._states[target.node_id]
+        if now_s - state.load_at_s > _LOAD_FRESH_S:
+            return None
+        slots = max(1, target.slots)
+        return max(state.load, state.in_flight / slots) + 1 / slots
+
+    def has_reported(self, node_id: str) -> bool:
+        """Returns whether a guard has reported its load."""
+        return self._states[node_id].load_at_s > _NEVER_S
+
+    def own_load(self, target: Target) -> float:
+        """Returns this router's calls in flight per slot, and one more."""
+        in_flight = self._states[target.node_id].in_flight
+        return (in_flight + 1) / max(1, target.slots)
+
+    def faded_load(self, node_id: str, now_s: float) -> float:
+        """Returns the last reported load of a guard; 0 after a second."""
+        state = self._states[node_id]
+        is_old = now_s - state.load_at_s > _LOAD_DECAY_S
+        return 0.0 if is_old else state.load
+
+    def is_idle(self, node_id: str) -> bool:
+        """Returns whether this router has no call in flight at a guard."""
+        return self._states[node_id].in_flight == 0
+
+    def pace(self, node_id: str, now_s: float) -> float:
+        """Returns the pace of a backend server, at least 1.0.
+
+        It loses weight with the age of the report; 1.0 if unknown.
+        """
+        state = self._states.get(node_id)
+        if state is None or state.pace <= _MIN_PACE:
+            return _MIN_PACE
+        left_s = _PACE_EXPIRES_S - (now_s - state.pace_at_s)
+        if left_s <= 0.0:
+            return _MIN_PACE
+        weight = min(1.0, left_s / (_PACE_EXPIRES_S - _PACE_KEPT_S))
+        pace = min(_MAX_PACE, state.pace)
+        return _MIN_PACE + weight * (pace - _MIN_PACE)
+
     def _select_candidates(
         self, service: str, tried: frozenset[str], now_s: float
     ) -> Candidates:
