--- a/packages/burdockfront-node/src/burdockfront_node/internal/event_log.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/event_log.py
@@ -51,16 +51,18 @@
 
     def write_event(self, event: timeline.Event) -> None:
         """Writes an event, or drops it if a limit is exceeded."""
-        budget = self._routine if _is_routine(event) else self._notable
-        if self._may_write(budget):
+        routine = event.detail.get("outcome") == "done"
+        if self._may_write(self._routine if routine else self._notable):
             self._append(_line_of(event))
-            self._schedule_flush()
+            if self._flush_timer is None:
+                self._schedule_flush()
 
     def write_record(self, record: dict[str, Any]) -> None:
         """Writes a record of `logging`, or drops it likewise."""
         if self._may_write(self._notable):
             self._append(record)
-            self._schedule_flush()
+            if self._flush_timer is None:
+                self._schedule_flush()
 
     def flush(self) -> None:
         """Writes as much of the buffer as the descriptor accepts."""
@@ -94,9 +96,8 @@
         )
 
     def _schedule_flush(self) -> None:
-        if self._flush_timer is None:
-            loop = asyncio.get_running_loop()
-            self._flush_timer = loop.call_later(_FLUSH_S, self.flush)
+        loop = asyncio.get_running_loop()
+        self._flush_timer = loop.call_later(_FLUSH_S, self.flush)
 
 
 def _line_of(event: timeline.Event) -> dict[str, Any]:
@@ -111,7 +112,3 @@
         line["request"] = event.request
     line.update(event.detail)
     return line
-
-
-def _is_routine(event: timeline.Event) -> bool:
-    return event.detail.get("outcome") == "done"
--- a/packages/burdockfront/src/burdockfront/platform_budget.py
+++ b/packages/burdockfront/src/burdockfront/platform_budget.py
@@ -28,8 +28,9 @@
     def take(self, now_s: float) -> bool:
         """Takes a token for one call; returns whether there was one."""
         if self._refilled_at_s is not None:
-            earned = (now_s - self._refilled_at_s) * self._rate_per_s
-            self._tokens = min(float(self._burst), self._tokens + earned)
+            self._tokens += (now_s - self._refilled_at_s) * self._rate_per_s
+            if self._tokens > self._burst:
+                self._tokens = float(self._burst)
         self._refilled_at_s = now_s
         if self._tokens < 1.0:
             return False
--- a/packages/burdockfront/src/burdockfront/timeline.py
+++ b/packages/burdockfront/src/burdockfront/timeline.py
@@ -38,9 +38,12 @@
 
     def observe(self, stamp: int, wall_s: float) -> int:
         """Returns a stamp above all earlier ones and a received one."""
-        if stamp > self._last:
-            self._last = stamp
-        return self.tick(wall_s)
+        # Written out instead of calling `tick`: each call between nodes
+        # observes a stamp twice.
+        last = stamp if stamp > self._last else self._last
+        own = int(wall_s * 1000) << _COUNTER_BITS
+        self._last = own if own > last else last + 1
+        return self._last
 
 
 def seconds_of(stamp: int) -> float:
@@ -143,7 +146,12 @@
         self, wall_s: float, kind: str, request: str = "", **detail: Any
     ) -> Event:
         """Adds an event, and passes it to the sink."""
-        event = self.note(wall_s, kind, request, **detail)
+        # Not by way of `note`, which would copy the fields a second time.
+        stamp = self.clock.tick(wall_s)
+        event = Event(
+            stamp, self._node, self._data_center, kind, request, detail
+        )
+        self._events.append(event)
         if self._sink is not None:
             self._sink(event)
         return event
