Guard: grant a free slot without a future, read the clock less often

Change: the gate returns at once if the admission starts the call, counts are kept, and times are passed on. Granting, refusing and cancelling are unchanged.

--- a/packages/burdockfront-node/src/burdockfront_node/availability.py
+++ b/packages/burdockfront-node/src/burdockfront_node/availability.py
@@ -68,13 +68,15 @@
     @property
     def draining(self) -> bool:
         """Whether the node or its backend server is leaving."""
-        return min(self._server_leaves_s, self._node_drains_s) < math.inf
+        leaving = self._server_leaves_s < math.inf
+        return leaving or self._node_drains_s < math.inf
 
     @property
     def accepts_work(self) -> bool:
         """Whether routers should send requests here."""
-        leaving = self.draining or self.stalls.stalled
-        return self._ready.is_set() and not leaving
+        if self.draining or self.stalls.stalled:
+            return False
+        return self._ready.is_set()
 
     def announce(self, announcement: backend_lib.Announcement) -> None:
         """Processes an announcement of the backend server."""
@@ -121,9 +123,10 @@
             return outcomes.Reason.NO_BACKEND
         if announced.service != service:
             return outcomes.Reason.NO_SUCH_SERVICE
-        refuses_s = min(self._server_leaves_s, self._node_drains_s)
-        if time.monotonic() >= refuses_s:
-            return outcomes.Reason.DRAINING
+        if self.draining:
+            refuses_s = min(self._server_leaves_s, self._node_drains_s)
+            if time.monotonic() >= refuses_s:
+                return outcomes.Reason.DRAINING
         if self.stalls.stalled:
             return outcomes.Reason.UNREACHABLE
         return None
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -77,22 +77,26 @@
         try:
             answer = await self._to_backend(attempt, nonce, started_s)
         finally:
-            service_s = time.monotonic() - started_s
-            self._record_end(gate, answer, service_s)
+            ended_s = time.monotonic()
+            service_s = ended_s - started_s
+            self._record_end(gate, answer, service_s, ended_s)
             self._quarantine.on_end(attempt, answer)
             served = answer is not None and answer.reason is None
             class_name = attempt.context.class_name if served else ""
             gate.leave(service_s, class_name)
             if self._lineage is not None:
-                self._lineage.on_run_end(attempt)
+                self._lineage.on_run_end(attempt, ended_s)
         if self._lineage is not None:
             answer = self._lineage.on_run_answer(attempt, started_s, answer)
         if answer.reason is outcomes.Reason.LOST_ANSWER:
             await self._quarantine.crash_detector.on_lost_answer(attempt)
-        record(
-            self._recorder,
+        self._recorder.record(
+            time.time(),
             "call.answered",
-            attempt,
+            attempt.context.request_id,
+            attempt=attempt.context.attempt_id,
+            service=attempt.call.service,
+            class_name=attempt.context.class_name,
             outcome=answer.outcome,
             status=answer.status,
             reason=answer.reason or "",
@@ -114,7 +118,7 @@
         address = announced.address if announced else ""
         self._quarantine.crash_detector.on_start(attempt, address, started_s)
         if self._lineage is not None:
-            self._lineage.on_run_start(attempt)
+            self._lineage.on_run_start(attempt, started_s)
 
     async def _to_backend(
         self, attempt: calls.Attempt, nonce: str | None, started_s: float
@@ -141,12 +145,13 @@
         gate: gate_lib.Gate,
         answer: outcomes.Answer | None,
         service_s: float,
+        ended_s: float,
     ) -> None:
         """Records the outcome of a handover while its slot is still held."""
         if answer is None or answer.outcome is outcomes.Outcome.UNKNOWN:
             self._availability.stalls.on_abandoned()
             return
-        self._availability.stalls.on_answer(service_s, time.monotonic())
+        self._availability.stalls.on_answer(service_s, ended_s)
         refused = answer.reason is outcomes.Reason.REJECTED
         if refused and self._refusals_lower_slots:
             gate.shed_by_backend()
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -113,10 +113,13 @@
     ) -> outcomes.Answer | None:
         """Waits for a slot; returns a refusal, or None with a slot."""
         attempt_id = context.attempt_id
+        step = self._admission.offer(attempt_id, context, time.monotonic())
+        if step.started == (attempt_id,) and not step.refused:
+            # Nearly always: a slot is free, and nothing has to be awaited.
+            return None
         future = asyncio.get_running_loop().create_future()
         self._waiting[attempt_id] = _Waiting(context, future)
-        now_s = time.monotonic()
-        self._apply(self._admission.offer(attempt_id, context, now_s))
+        self._apply(step)
         try:
             refusal: outcomes.Answer | None = await future
         except asyncio.CancelledError:
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -245,7 +245,8 @@
         if attempt.ticket is not None:
             answer = await self.tickets.serve(attempt, attempt.ticket)
         elif attempt.call.idempotent:
-            answer = await self._run(attempt)
+            refusal = await self._admit(attempt)
+            answer = refusal or await self._runs.run(attempt, None)
         else:
             answer = outcomes.not_run(outcomes.Reason.TICKET_NEEDED)
         return self._with_state(attempt, answer)
@@ -288,12 +289,6 @@
         except TimeoutError:
             return
 
-    async def _run(self, attempt: calls.Attempt) -> outcomes.Answer:
-        refusal = await self._admit(attempt)
-        if refusal is not None:
-            return refusal
-        return await self._runs.run(attempt, None)
-
     async def _admit(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Waits for a slot; returns a refusal, or None with a slot."""
         arrived_s = time.monotonic()
@@ -391,12 +386,17 @@
         if answer.outcome is outcomes.Outcome.UNKNOWN:
             self._counters.unknown += 1
         context = attempt.context
-        answer.level = self._reported_level(context, answer)
+        accepts_work = self.accepts_work
+        # None while no work is accepted: routers would apply the level of a
+        # frozen or leaving server to its whole service.
+        answer.level = (
+            self._reported_level(context, answer) if accepts_work else None
+        )
         answer.report = None
         if attempt.received is not None or not self.self_reports.is_plain:
             answer.report = self.self_reports.report_for(attempt.received)
         answer.load = self.load()
-        answer.draining = not self.accepts_work or self.announcement is None
+        answer.draining = not accepts_work or self.announcement is None
         answer.nested_call = context.depth > 0
         answer.far_kb = 0.0
         if self._lineage is not None:
@@ -408,13 +408,9 @@
     ) -> int | None:
         """Returns the lowest level of this guard and its downstream services.
 
-        None while no work is accepted: routers would apply the level of a
-        frozen or leaving server to its whole service. Also None for a
-        rate-limited server with idle slots, whose level would wrongly indicate
-        spare capacity.
+        None for a rate-limited server with idle slots, whose level would
+        wrongly indicate spare capacity.
         """
-        if not self.accepts_work:
-            return None
         path_level = self._dispatcher.level_tracker.path_level(
             context.class_name, time.monotonic()
         )
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -80,19 +80,15 @@
         """Returns the far kilobytes of the calls below a request of a class."""
         return self._transfer_costs.kb_per_request(class_name)
 
-    def on_run_start(self, attempt: calls.Attempt) -> None:
+    def on_run_start(self, attempt: calls.Attempt, now_s: float) -> None:
         """Records that a request is handed to the backend server."""
         self._correlator.add(attempt.context)
-        self._transfer_costs.record_start(
-            attempt.context.class_name, time.monotonic()
-        )
+        self._transfer_costs.record_start(attempt.context.class_name, now_s)
 
-    def on_run_end(self, attempt: calls.Attempt) -> None:
+    def on_run_end(self, attempt: calls.Attempt, now_s: float) -> None:
         """Records that a request at the backend server is no longer awaited."""
         self._correlator.remove(attempt.context)
-        self._transfer_costs.record_end(
-            attempt.context.class_name, time.monotonic()
-        )
+        self._transfer_costs.record_end(attempt.context.class_name, now_s)
 
     def on_run_answer(
         self, attempt: calls.Attempt, started_s: float, answer: outcomes.Answer
@@ -104,10 +100,9 @@
             answer.outcome is outcomes.Outcome.DONE or timed_out
         )
         starved = self._starvation.record_end(class_name, started_s, failed)
-        now_s = time.monotonic()
         for child in self._starvation.causes(class_name):
             self._level_tracker.record_call(
-                class_name, child.service, now_s, child.class_name
+                class_name, child.service, time.monotonic(), child.class_name
             )
         return dataclasses.replace(answer, starved=True) if starved else answer
 
--- a/packages/burdockfront-node/src/burdockfront_node/quarantine.py
+++ b/packages/burdockfront-node/src/burdockfront_node/quarantine.py
@@ -102,12 +102,12 @@
         """
         self.leave(attempt)
         self.crash_detector.on_end(attempt, answer)
+        if not self._tracker.suspects:
+            return
         if answer is not None and answer.outcome is outcomes.Outcome.DONE:
             self._acquit(attempt)
 
     def _acquit(self, attempt: calls.Attempt) -> None:
-        if not self._tracker.suspects:
-            return
         suspect = crash_detector_lib.suspect_of(attempt.call)
         for entry in self._tracker.acquittals_of(suspect, time.time()):
             self._publish(entry)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -208,9 +208,9 @@
         )
 
     def _new_lineage(self) -> lineage_lib.Lineage:
-        router = self._dispatcher.router
         self._lineage = lineage_lib.Lineage(
-            self._dispatcher.level_tracker, lambda: len(router.services())
+            self._dispatcher.level_tracker,
+            self._dispatcher.router.service_count,
         )
         self._dispatcher.observer = self._lineage.on_call_answer
         return self._lineage
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -132,6 +132,14 @@
         """Returns the names of all known services, sorted."""
         return sorted(self._targets)
 
+    def service_count(self) -> int:
+        """Returns the number of known services."""
+        return len(self._targets)
+
+    def knows(self, service: str) -> bool:
+        """Returns whether any guard of a service is known."""
+        return bool(self._targets.get(service))
+
     def targets_of(self, service: str) -> list[Target]:
         """Returns all known guards of a service."""
         return list(self._targets.get(service, {}).values())
@@ -192,7 +200,8 @@
         state = self._states.get(node_id)
         if state is None:
             return
-        state.in_flight = max(0, state.in_flight - 1)
+        if state.in_flight > 0:
+            state.in_flight -= 1
         state.unanswered = 0
         if state.ejected:
             state.ejected = False
--- a/packages/burdockfront/src/burdockfront/starvation.py
+++ b/packages/burdockfront/src/burdockfront/starvation.py
@@ -47,13 +47,16 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, collections.Counter[str]] = {}
+        self._totals: dict[str, int] = {}
 
     def record(self, class_name: str, origin_service: str) -> None:
         """Counts a request that entered at a node of `origin_service`."""
         counter = self._entries.get(class_name)
         if counter is None:
             counter = self._entries[class_name] = collections.Counter()
+            self._totals[class_name] = 0
         counter[origin_service] += 1
+        self._totals[class_name] += 1
 
     def is_new_work(self, class_name: str, services: int) -> bool:
         """Whether requests of a class come from callers.
@@ -66,9 +69,10 @@
             services: Number of services in the system.
         """
         counter = self._entries.get(class_name)
-        if counter is None or counter.total() < _MIN_REQUESTS:
+        if counter is None or self._totals[class_name] < _MIN_REQUESTS:
             return False
-        return len(counter) >= max(2.0, _NEW_WORK_SHARE * services)
+        origins = len(counter)
+        return origins >= 2 and origins >= _NEW_WORK_SHARE * services
 
 
 class StarvationTracker:
