--- a/packages/burdockfront/src/burdockfront/tables.py
+++ b/packages/burdockfront/src/burdockfront/tables.py
@@ -73,6 +73,9 @@
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
         self._digests = [0] * _BUCKETS
+        # Digest of all buckets; empty after a change. Each message between
+        # peers carries it, and tables hardly ever change.
+        self._digest = ""
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -98,6 +101,7 @@
         if stored is not None:
             self._digests[bucket] ^= _hash(stored)
         self._digests[bucket] ^= _hash(entry)
+        self._digest = ""
         self._entries[entry.key] = entry
         return True
 
@@ -106,11 +110,14 @@
         entry = self._entries.pop(key, None)
         if entry is not None:
             self._digests[_bucket_of(key)] ^= _hash(entry)
+            self._digest = ""
 
     def digest(self) -> str:
         """Returns a short text that is equal for equal tables."""
-        total = xxhash.xxh3_64_hexdigest(orjson.dumps(self._digests))
-        return total
+        if not self._digest:
+            packed = orjson.dumps(self._digests)
+            self._digest = xxhash.xxh3_64_hexdigest(packed)
+        return self._digest
 
     def bucket_digests(self) -> list[int]:
         """Returns the digest of each bucket."""
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -62,3 +62,22 @@
         assert gate.in_flight == 0
 
     asyncio.run(scenario())
+
+
+def test_call_that_starts_while_others_wait_leaves_them_waiting():
+    # A call that gets a slot at once does not pass through the queue of the
+    # gate. It must count as in flight, and must not start or drop a call that
+    # waits behind a token or a slot.
+    async def scenario():
+        gate = _gate({"now": policy.default("fees")}, slots=2)
+        assert await gate.enter(_context("a")) is None
+        assert gate.in_flight == 1
+        assert await gate.enter(_context("b")) is None
+        waiting = asyncio.create_task(gate.enter(_context("c")))
+        await asyncio.sleep(0)
+        assert gate.in_flight == 3
+        gate.leave(0.01)
+        assert await waiting is None
+        assert gate.in_flight == 2
+
+    asyncio.run(scenario())
--- a/tests/unit/test_state.py
+++ b/tests/unit/test_state.py
@@ -7,10 +7,12 @@
 from burdockfront import configuration
 from burdockfront import errors
 from burdockfront import leases
+from burdockfront import levels
 from burdockfront import members
 from burdockfront import membership
 from burdockfront import platform_budget
 from burdockfront import policy
+from burdockfront import tables
 from burdockfront import timeline
 from tests import builders
 
@@ -142,3 +144,45 @@
     change = node.merge(old.to_entry(), 1.0)
     assert change is not None
     assert node.local_member.incarnation > 9
+
+
+def test_digest_follows_every_change_of_a_table():
+    # The digest is kept between changes. A stale one would make peers sync in
+    # vain, or not at all.
+    changed = tables.Table()
+    first = tables.Entry("a", (1,), {"x": 1})
+    changed.merge(first)
+    of_first = changed.digest()
+    changed.merge(tables.Entry("a", (2,), {"x": 2}))
+    assert changed.digest() != of_first
+    changed.merge(tables.Entry("b", (1,), {}))
+    with_both = changed.digest()
+    changed.remove("b")
+    assert changed.digest() != with_both
+    equal = tables.Table()
+    equal.merge(tables.Entry("a", (2,), {"x": 2}))
+    assert equal.digest() == changed.digest()
+
+
+def test_observed_stamp_is_below_all_later_ones():
+    # A stamp from a node whose clock is ahead must not be repeated here.
+    clock = timeline.HybridClock()
+    ahead = timeline.HybridClock().tick(200.0)
+    after = clock.observe(ahead, 100.0)
+    assert after > ahead
+    assert clock.tick(100.0) > after
+    assert clock.observe(ahead, 300.0) == timeline.HybridClock().tick(300.0)
+
+
+def test_open_levels_stay_open_and_a_lower_one_takes_effect():
+    # An open level that follows an open one is not averaged. The next lower
+    # level must still apply at once, and relax from the time it was received.
+    tracker = levels.LevelTracker()
+    tracker.observe("fees", "browse", levels.OPEN, 1.0)
+    tracker.observe("fees", "browse", levels.OPEN, 50.0)
+    tracker.remove_expired(55.0)
+    assert tracker.level_of("fees", "browse", 55.0) == levels.OPEN
+    tracker.observe("fees", "browse", 100, 56.0)
+    assert tracker.level_of("fees", "browse", 56.0) == 100
+    tracker.observe("fees", "browse", levels.OPEN, 56.1)
+    assert tracker.level_of("fees", "browse", 56.1) == 166
