--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -237,13 +237,13 @@
         answer.unspent,
         answer.level,
         answer.moved_to,
-        round(answer.queue_s, 4),
+        round(answer.queue_s, 4) if answer.queue_s else 0.0,
         None if answer.load is None else round(answer.load, 3),
         answer.draining,
         stamp,
         answer.starved,
         answer.nested_call,
-        round(answer.far_kb, 1),
+        round(answer.far_kb, 1) if answer.far_kb else 0.0,
     ]
     has_state = answer.pace != 1.0 or answer.over_share
     if answer.report is not None:
--- a/packages/burdockfront-node/src/burdockfront_node/quarantine.py
+++ b/packages/burdockfront-node/src/burdockfront_node/quarantine.py
@@ -100,7 +100,7 @@
             attempt: The attempt that ran.
             answer: Its answer; None if its caller left.
         """
-        self.leave(attempt)
+        self._suspect_lock.release(attempt.context.attempt_id)
         self.crash_detector.on_end(attempt, answer)
         if not self._tracker.suspects:
             return
