Find the request of a nested call by the lengths of known ids

Change: the ids in flight are indexed by length, of which there are few; with more than eight lengths the search for separators is used as before. The same parent is found: a new test compares both with the definition, and one covers the limit on parts.

--- a/packages/burdockfront/src/burdockfront/call_correlation.py
+++ b/packages/burdockfront/src/burdockfront/call_correlation.py
@@ -21,6 +21,8 @@
 # An id with more parts than the deepest chain of calls is not derived from
 # request ids.
 _MAX_PARTS = context_lib.MAX_DEPTH
+# With more lengths of ids than this, a search for separators is faster.
+_MAX_LENGTHS = 8
 
 
 class CallCorrelator:
@@ -28,17 +30,31 @@
 
     def __init__(self) -> None:
         self._attempts: dict[str, list[context_lib.RequestContext]] = {}
+        # Number of the ids above, by length.
+        self._lengths: dict[int, int] = {}
 
     def add(self, context: context_lib.RequestContext) -> None:
         """Adds a request that is handed to the backend server."""
-        self._attempts.setdefault(context.request_id, []).append(context)
+        request_id = context.request_id
+        attempts = self._attempts.get(request_id)
+        if attempts is not None:
+            attempts.append(context)
+            return
+        self._attempts[request_id] = [context]
+        length = len(request_id)
+        self._lengths[length] = self._lengths.get(length, 0) + 1
 
     def remove(self, context: context_lib.RequestContext) -> None:
         """Removes a request that the backend server has finished."""
         attempts = self._attempts[context.request_id]
         attempts.remove(context)
-        if not attempts:
-            del self._attempts[context.request_id]
+        if attempts:
+            return
+        del self._attempts[context.request_id]
+        length = len(context.request_id)
+        self._lengths[length] -= 1
+        if not self._lengths[length]:
+            del self._lengths[length]
 
     def parent_of(self, request_id: str) -> context_lib.RequestContext | None:
         """Returns the request that a call is made for, or None.
@@ -46,11 +62,31 @@
         Args:
             request_id: Id of the call.
         """
-        if not self._attempts:
-            return None
+        if len(self._lengths) <= _MAX_LENGTHS:
+            return self._parent_by_length(request_id)
         ends = [match.start() for match in _SEPARATOR.finditer(request_id)]
         for end in reversed(ends[-_MAX_PARTS:]):
             attempts = self._attempts.get(request_id[:end])
             if attempts:
                 return attempts[-1]
         return None
+
+    def _parent_by_length(
+        self, request_id: str
+    ) -> context_lib.RequestContext | None:
+        """Returns the same as `parent_of`, from the lengths of the known ids.
+
+        The ids of a deployment have few lengths, so this needs fewer steps than
+        a search for separators.
+        """
+        longest = -1
+        for length in self._lengths:
+            if length > longest and request_id[:length] in self._attempts:
+                rest = request_id[length : length + 1]
+                if _SEPARATOR.match(rest):
+                    longest = length
+        if longest < 0:
+            return None
+        if len(_SEPARATOR.findall(request_id, longest)) > _MAX_PARTS:
+            return None
+        return self._attempts[request_id[:longest]][-1]
--- a/tests/unit/test_call_correlation.py
+++ b/tests/unit/test_call_correlation.py
@@ -1,5 +1,7 @@
 """Correlation of a backend server's calls with its requests, by their ids."""
 
+import random
+
 from burdockfront import call_correlation
 from tests import builders
 
@@ -49,3 +51,35 @@
     )
     correlator.remove(second)
     assert _parent_of(correlator, "a1.b2") is None
+
+
+def test_parent_is_the_longest_known_prefix_whatever_the_lengths_are():
+    # Few lengths of ids are searched by length, many by separator. Both must
+    # find the same parent.
+    rng = random.Random(11)
+    found = 0
+    for _ in range(3000):
+        count = rng.choice((1, 3, 30))
+        ids = {_random_id(rng) for _ in range(count)}
+        correlator = _correlator(*ids)
+        called = _random_id(rng)
+        prefixes = [
+            known
+            for known in ids
+            if called.startswith(known)
+            and called[len(known) : len(known) + 1] in (".", "-")
+        ]
+        expected = max(prefixes, key=len, default=None)
+        found += expected is not None
+        assert _parent_of(correlator, called) == expected, (ids, called)
+    assert found > 300
+
+
+def test_id_with_too_many_parts_behind_a_known_one_is_no_call():
+    correlator = _correlator("a1")
+    assert _parent_of(correlator, "a1" + ".b" * 32) == "a1"
+    assert _parent_of(correlator, "a1" + ".b" * 33) is None
+
+
+def _random_id(rng: random.Random) -> str:
+    return "".join(rng.choices("a1.-", k=rng.randint(1, 12)))
