--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -274,7 +274,8 @@
         if attempt.ticket is not None:
             answer = await self.tickets.serve(attempt, attempt.ticket)
         elif attempt.call.idempotent:
-            answer = await self._run(attempt)
+            refusal = await self._admit(attempt)
+            answer = refusal or await self._runs.run(attempt, None)
         else:
             answer = outcomes.not_run(outcomes.Reason.TICKET_NEEDED)
         return self._with_state(attempt, answer)
@@ -323,12 +324,6 @@
         except TimeoutError:
             return
 
-    async def _run(self, attempt: calls.Attempt) -> outcomes.Answer:
-        refusal = await self._admit(attempt)
-        if refusal is not None:
-            return refusal
-        return await self._runs.run(attempt, None)
-
     async def _admit(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Waits for a slot; returns a refusal, or None with a slot."""
         arrived_s = time.monotonic()
@@ -452,12 +447,13 @@
         if answer.outcome is outcomes.Outcome.UNKNOWN:
             self._counters.unknown += 1
         context = attempt.context
-        self._set_levels(context, answer)
+        accepts_work = self.accepts_work
+        self._set_levels(context, answer, accepts_work)
         answer.report = None
         if attempt.received is not None or not self.self_reports.is_plain:
             answer.report = self.self_reports.report_for(attempt.received)
         answer.load = self.load()
-        answer.draining = not self.accepts_work or self.announcement is None
+        answer.draining = not accepts_work or self.announcement is None
         # Also resets the pace on an answer that is replayed for its ticket.
         answer.pace = 1.0
         if self._server_load is not None and self._server_load.is_reported:
@@ -469,7 +465,10 @@
         return answer
 
     def _set_levels(
-        self, context: context_lib.RequestContext, answer: outcomes.Answer
+        self,
+        context: context_lib.RequestContext,
+        answer: outcomes.Answer,
+        accepts_work: bool,
     ) -> None:
         """Sets the lowest level of this guard and its downstream services.
 
@@ -483,7 +482,7 @@
         received = answer.level
         answer.level = None
         answer.service_levels = tracker.services.to_send(now_s)
-        if not self.accepts_work:
+        if not accepts_work:
             return
         level, bottleneck = self._bottleneck_of(context)
         if received is not None:
--- a/packages/burdockfront/src/burdockfront/guard_estimates.py
+++ b/packages/burdockfront/src/burdockfront/guard_estimates.py
@@ -96,7 +96,9 @@
         if typical_s <= 0.0:
             estimate.typical_s = elapsed_s
             return
-        sample = min(_MAX_SAMPLE, elapsed_s / typical_s)
+        sample = elapsed_s / typical_s
+        if sample > _MAX_SAMPLE:
+            sample = _MAX_SAMPLE
         previous = self._relative_latencies.get(node_id)
         if pace > 1.0:
             elapsed_s = min(elapsed_s, max(elapsed_s / pace, typical_s))
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -235,6 +235,11 @@
         """
         if bottleneck:
             self._bottlenecks[(service, class_name)] = bottleneck
+        received = self._received.get((service, class_name))
+        if received is not None and level >= OPEN <= received.level:
+            # Nearly always: nothing to average, and nothing to relax.
+            received.at_s = now_s
+            return
         known = float(self.level_of(service, class_name, now_s))
         if level >= OPEN:
             # OPEN is not averaged in: a router that refuses requests receives
