--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -255,6 +255,14 @@
                 level = min(level, self.level_of(service, called_class, now_s))
         return level
 
+    def calls_of(self, class_name: str, now_s: float) -> list[tuple[str, str]]:
+        """Returns services and classes of the calls that a class leads to."""
+        return [
+            (service, called_class)
+            for (name, service, called_class), at_s in self._calls.items()
+            if name == class_name and now_s - at_s < _EXPIRY_S
+        ]
+
     def remove_expired(self, now_s: float) -> None:
         """Removes levels and call records older than the expiry time."""
         self._received = {
