Guards name the accounts above their share on their answers

Cause: entries do not know which accounts ask for more than their share of a service that is up to four calls below them.

Change: FlowAdmission feeds the share meter while its level is below open, and the guard puts the named accounts on its answers. A guard above passes on what the services reported that its requests call, with the age of the report, so that services which call each other cannot keep one alive. Changes of the named accounts are logged at most once a second. test_route_filter builds a sender, which now takes the share tracker.

--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -9,6 +9,7 @@
 
 from burdockfront import admission
 from burdockfront import allowance as allowance_lib
+from burdockfront import fair_shares
 from burdockfront import guards
 from burdockfront import keyring as keyring_lib
 from burdockfront import levels
@@ -49,6 +50,7 @@
             not propagated; None if unused.
         router: Chooses the guard of each attempt.
         level_tracker: Admission levels of the called services.
+        share_tracker: Accounts above their fair share of these services.
         counters: Totals of this dispatcher.
         sender: Sends single attempts.
     """
@@ -70,12 +72,14 @@
         self.observer = None
         self.router = routing.Router(data_center, rng)
         self.level_tracker = levels.LevelTracker()
+        self.share_tracker = fair_shares.ShareTracker(self.level_tracker)
         self.counters = calls.Counters()
         self.sender = sender_lib.Sender(
             node_id,
             keys,
             self.router,
             self.level_tracker,
+            self.share_tracker,
             recorder,
             self.counters,
             source_ip,
--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -3,6 +3,7 @@
 import collections
 import time
 
+from burdockfront import fair_shares
 from burdockfront import guards
 from burdockfront import levels
 from burdockfront import outcomes
@@ -32,6 +33,7 @@
     Args:
         router: Receives answers, latencies and rate limits of guards.
         level_tracker: Receives the admission levels on answers.
+        share_tracker: Receives the accounts above their share on answers.
         recorder: Records events.
         counters: Totals to update.
 
@@ -44,6 +46,7 @@
         self,
         router: routing.Router,
         level_tracker: levels.LevelTracker,
+        share_tracker: fair_shares.ShareTracker,
         recorder: timeline.Recorder,
         counters: calls.Counters,
     ):
@@ -51,6 +54,7 @@
         self.far_bytes: collections.Counter[str] = collections.Counter()
         self._router = router
         self._level_tracker = level_tracker
+        self._share_tracker = share_tracker
         self._recorder = recorder
         self._counters = counters
 
@@ -95,6 +99,14 @@
                 answer.level,
                 now_s,
             )
+        if answer.over_share:
+            self._share_tracker.observe(
+                call.service,
+                call.context.class_name,
+                answer.over_share,
+                answer.over_share_age_s,
+                now_s,
+            )
         if self._router.is_far(target):
             self._record_transfer(call, answer)
 
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -9,6 +9,7 @@
 
 from burdockfront import context as context_lib
 from burdockfront import errors
+from burdockfront import fair_shares
 from burdockfront import guards
 from burdockfront import keyring as keyring_lib
 from burdockfront import levels
@@ -43,6 +44,7 @@
         keys: Keys that sign contexts and tickets.
         router: Receives the result of each attempt.
         level_tracker: Receives the admission levels on answers.
+        share_tracker: Receives the accounts above their share on answers.
         recorder: Records events.
         counters: Totals to update.
         source_ip: Local IP address of outgoing connections; None lets the
@@ -59,6 +61,7 @@
         keys: keyring_lib.KeyRing,
         router: routing.Router,
         level_tracker: levels.LevelTracker,
+        share_tracker: fair_shares.ShareTracker,
         recorder: timeline.Recorder,
         counters: calls.Counters,
         source_ip: str | None,
@@ -70,7 +73,7 @@
         self.local_guard: LocalGuard | None = None
         self.transport: Transport = self._over_network
         self.feedback = feedback_lib.Feedback(
-            router, level_tracker, recorder, counters
+            router, level_tracker, share_tracker, recorder, counters
         )
         self._margin_s = 0.0 if waits_past_deadline else _ANSWER_MARGIN_S
         self._node_id = node_id
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -60,9 +60,10 @@
 _PARTS_WITHOUT_REPORT = 14
 _PARTS_WITHOUT_SERVER_STATE = 15
 # Fields of the server state on an answer: the pace of the backend server, and
-# the client accounts above their fair share.
+# the client accounts above their fair share, with the age of that report.
 _PACE = "p"
 _OVER_SHARE = "h"
+_OVER_SHARE_AGE = "a"
 _OUTCOMES = {outcome.value: outcome for outcome in outcomes.Outcome}
 
 
@@ -253,6 +254,8 @@
         state[_PACE] = round(answer.pace, 2)
     if answer.over_share:
         state[_OVER_SHARE] = answer.over_share
+        if answer.over_share_age_s:
+            state[_OVER_SHARE_AGE] = round(answer.over_share_age_s, 3)
     return state
 
 
@@ -321,6 +324,8 @@
                     str(tag): _positive(ratio)
                     for tag, ratio in over_share.items()
                 }
+                age_s = parts[15].get(_OVER_SHARE_AGE, 0.0)
+                answer.over_share_age_s = _positive(age_s) if age_s else 0.0
         return answer, parts[10]
     except (
         errors.InvalidInputError,
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/account_shares.py
@@ -0,0 +1,84 @@
+"""Fair shares of client accounts at one node: answers, log and status.
+
+See `burdockfront.fair_shares` for the decisions.
+"""
+
+import time
+
+from burdockfront import fair_shares
+from burdockfront import outcomes
+from burdockfront import routes
+from burdockfront import timeline
+
+# Minimum time between two log lines about the named accounts.
+_LOG_INTERVAL_S = 1.0
+
+
+class AccountShares:
+    """Connects the share meter of the guard with the reports from below.
+
+    Args:
+        resolver: The active route table, which has the accounts.
+        tracker: Accounts above their share of the services called here.
+        recorder: Records changes of the named accounts.
+
+    Attributes:
+        meter: Finds the accounts above their share at this guard.
+        tracker: Accounts above their share of the services called here.
+    """
+
+    def __init__(
+        self,
+        resolver: routes.RouteResolver,
+        tracker: fair_shares.ShareTracker,
+        recorder: timeline.Recorder,
+    ):
+        self.meter = fair_shares.ShareMeter(lambda: resolver.accounts.in_use)
+        self.tracker = tracker
+        self._resolver = resolver
+        self._recorder = recorder
+        self._logged: frozenset[str] = frozenset()
+        self._logged_s = 0.0
+
+    def add_to(
+        self, answer: outcomes.Answer, class_name: str, now_s: float
+    ) -> None:
+        """Sets the accounts above their share of the services of a class.
+
+        Args:
+            answer: The guard's answer.
+            class_name: Class of the request.
+            now_s: The current time.
+        """
+        named = self.meter.over_share
+        age_s = 0.0
+        below = self.tracker.over_share_below(class_name, now_s)
+        if below is not None:
+            ratios, at_s = below
+            # With the age of the older report, no report outlives its
+            # lifetime by being merged into a newer one.
+            age_s = now_s - at_s
+            named = fair_shares.merged(named, ratios) if named else ratios
+        if named:
+            answer.over_share = named
+            answer.over_share_age_s = age_s
+
+    def log_change(self, now_s: float) -> None:
+        """Records a change of the accounts that this guard names."""
+        named = self.meter.over_share
+        if named.keys() == self._logged:
+            return
+        if now_s - self._logged_s < _LOG_INTERVAL_S:
+            return
+        self._logged = frozenset(named)
+        self._logged_s = now_s
+        self._recorder.record(
+            time.time(),
+            "guard.shares",
+            over_share=self.names_of(named),
+        )
+
+    def names_of(self, ratios: dict[str, float]) -> dict[str, float]:
+        """Returns the ratios by account name, or by tag if it is unknown."""
+        names = self._resolver.accounts.names_by_tag
+        return {names.get(tag, tag): ratio for tag, ratio in ratios.items()}
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/housekeeping.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/housekeeping.py
@@ -51,6 +51,7 @@
             self._guard.ledger.expire(self._wall_s())
             self._exchange.crash_gossip.tracker.forget(time.time())
             self._dispatcher.level_tracker.remove_expired(time.monotonic())
+            self._dispatcher.share_tracker.remove_expired(time.monotonic())
             self._record_far_transfers()
             self._record_control_cost()
 
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -18,6 +18,7 @@
 from burdockfront import timeline
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import dispatcher as dispatcher_lib
+from burdockfront_node import account_shares
 from burdockfront_node import availability
 from burdockfront_node import daemon_components
 from burdockfront_node import entry as entry_lib
@@ -204,6 +205,7 @@
             self._guard_rules(),
             self._new_lineage(),
             self._quarantine,
+            self._new_shares(),
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
@@ -242,6 +244,10 @@
         """
         return None
 
+    def _new_shares(self) -> account_shares.AccountShares | None:
+        """Returns the fair shares of client accounts, where there are any."""
+        return None
+
     def _guard_rules(self) -> availability.GuardRules:
         """Returns the rules of the guard that depend on the environment."""
         return availability.GuardRules()
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -13,6 +13,7 @@
 from burdockfront import admission as admission_lib
 from burdockfront import admission_queue
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import levels
 from burdockfront import limits
 from burdockfront import outcomes
@@ -34,6 +35,7 @@
         announcement: The backend server's first announcement.
         policy_of: Returns the active policy of a service.
         rate: Token bucket for the rate limit that the backend server reports.
+        shares: Measures the work of client accounts; None if unused.
 
     Attributes:
         cancelled: Number of calls whose callers left while they waited.
@@ -44,6 +46,7 @@
         announcement: backend_lib.Announcement,
         policy_of: Callable[[str], policy_lib.Policy],
         rate: rate_limits.RateLimit,
+        shares: fair_shares.ShareMeter | None = None,
     ):
         now_s = time.monotonic()
         self._service = announcement.service
@@ -58,6 +61,8 @@
             cold=announcement.state == "cold",
         )
         self._admission = admission_lib.create(rules, self._limit, now_s, rate)
+        self._shares = shares
+        self._admission.shares = shares
         self._waiting: dict[str, _Waiting] = {}
         self.cancelled = 0
 
@@ -159,6 +164,7 @@
             policy.admission, self._limit, now_s, self._rate
         )
         fresh.in_use = self._admission.in_use
+        fresh.shares = self._shares
         self._admission = fresh
         for attempt_id, waiting in list(self._waiting.items()):
             if not waiting.settled.done():
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -26,6 +26,7 @@
 from burdockfront_client import calls
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_client import peers as peers_lib
+from burdockfront_node import account_shares
 from burdockfront_node import availability as availability_lib
 from burdockfront_node import backend as backend_lib
 from burdockfront_node import backend_runs
@@ -70,6 +71,7 @@
             do not propagate them; None where they do.
         quarantine: Refuses requests that crash servers; by default a standalone
             one.
+        shares: Fair shares of client accounts; None if unused.
 
     Attributes:
         on_server_leaving: Called with each incarnation of the server that is
@@ -92,10 +94,12 @@
         rules: availability_lib.GuardRules | None = None,
         lineage: lineage_lib.Lineage | None = None,
         quarantine: quarantine_lib.Quarantine | None = None,
+        shares: account_shares.AccountShares | None = None,
     ):
         self.on_server_leaving: Callable[[incarnations.Incarnation], None]
         self.on_server_leaving = _ignore
         self._lineage = lineage
+        self._shares = shares
         self._quarantine = quarantine or quarantine_lib.standalone(recorder)
         self._rules = rules or availability_lib.GuardRules()
         self._availability = availability_lib.Availability(ready, self._rules)
@@ -188,7 +192,10 @@
         self._availability.announce(announcement)
         if self._gate is None:
             self._gate = gate_lib.Gate(
-                announcement, self._policy_of, self.self_reports.rate
+                announcement,
+                self._policy_of,
+                self.self_reports.rate,
+                self._shares.meter if self._shares else None,
             )
             self._runs.gate = self._gate
         turned_cold = announcement.state == "cold" and (
@@ -270,6 +277,8 @@
     def _tick(self, gate: gate_lib.Gate) -> None:
         before = gate.level()
         gate.tick()
+        if self._shares is not None:
+            self._shares.log_change(time.monotonic())
         if gate.level() != before:
             self._recorder.record(
                 time.time(),
@@ -401,6 +410,12 @@
         answer.far_kb = 0.0
         if self._lineage is not None:
             answer.far_kb = self._lineage.transfer_cost_of(context.class_name)
+        answer.over_share = None
+        shares = self._shares
+        if shares is not None and (
+            shares.meter.over_share or shares.tracker.any_named
+        ):
+            shares.add_to(answer, context.class_name, time.monotonic())
         return answer
 
     def _reported_level(
--- a/packages/burdockfront/src/burdockfront/accounts.py
+++ b/packages/burdockfront/src/burdockfront/accounts.py
@@ -17,6 +17,9 @@
 
 # 96 bits: guessing a key that matches one of 10,000 digests takes 2^82 tries.
 _DIGEST_BYTES = 12
+# 40 bits: the chance that two of 10,000 accounts share a tag is 1 in 20,000,
+# and they would only count as one account in fair shares.
+_TAG_BYTES = 5
 RANKS = 8
 
 
@@ -48,6 +51,12 @@
     return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).hexdigest()
 
 
+def tag_of(name: str) -> str:
+    """Returns the tag of an account on calls between nodes."""
+    data = name.encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(data, digest_size=_TAG_BYTES).hexdigest()
+
+
 def check(accounts: Iterable[Account]) -> None:
     """Checks that names and keys are unique.
 
@@ -88,6 +97,8 @@
         in_use: Whether callers need a key.
         limited: Names of the accounts with a quota.
         newly_limited: Names of those that had no quota in `previous`.
+        tags: Tag by account name; see `tag_of`.
+        names_by_tag: Account name by tag.
     """
 
     def __init__(
@@ -98,6 +109,8 @@
     ):
         self.accounts = accounts
         self.in_use = bool(accounts)
+        self.tags = {account.name: tag_of(account.name) for account in accounts}
+        self.names_by_tag = {tag: name for name, tag in self.tags.items()}
         self._by_name = {account.name: account for account in accounts}
         self._by_digest = {
             digest: account
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -15,6 +15,7 @@
 
 from burdockfront import admission_queue
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import flow_level
 from burdockfront import levels
 from burdockfront import limit_level
@@ -38,9 +39,11 @@
 
     Attributes:
         in_use: Slots in use.
+        shares: Measures the work of client accounts; None if unused.
     """
 
     in_use: int
+    shares: fair_shares.ShareMeter | None
 
     def offer(
         self, item_id: str, context: context_lib.RequestContext, now_s: float
@@ -175,7 +178,10 @@
         step = admission_queue.QueueAdmission.advance(self, now_s)
         self._limit_level.advance(now_s)
         if self._flow.is_window_over(now_s):
-            self._flow.advance(self._limit.current(now_s), now_s)
+            slots = self._limit.current(now_s)
+            self._flow.advance(slots, now_s)
+            if self.shares is not None:
+                self.shares.advance(self.level(), slots, now_s)
         return step
 
     def level(self) -> int:
@@ -195,6 +201,8 @@
     def _record_admitted(self, context: context_lib.RequestContext) -> None:
         work_s = self._work_s.get(context.class_name, self._service_s)
         self._flow.record_arrival(context.priority, work_s)
+        if self.shares is not None and self.shares.active:
+            self.shares.record(context, work_s)
 
     def _record_wait(self, delay_s: float) -> None:
         self._flow.record_wait(delay_s)
--- a/packages/burdockfront/src/burdockfront/admission_queue.py
+++ b/packages/burdockfront/src/burdockfront/admission_queue.py
@@ -11,6 +11,7 @@
 import itertools
 
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import levels
 from burdockfront import limits
 from burdockfront import outcomes
@@ -62,6 +63,7 @@
         now_s: float,
     ):
         self.in_use = 0
+        self.shares: fair_shares.ShareMeter | None = None
         self._policy = admission_policy
         self._limit = limit
         self._rate = rate
--- a/packages/burdockfront/src/burdockfront/fair_shares.py
+++ b/packages/burdockfront/src/burdockfront/fair_shares.py
@@ -19,6 +19,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -196,13 +197,17 @@
 class ShareMeter:
     """Finds the accounts above their fair share at one guard.
 
+    Args:
+        in_use: Whether there are client accounts. Defaults to always.
+
     Attributes:
         active: Whether calls have to be recorded: the level is below open.
         over_share: Ratio by account above its share; empty if there is none.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, in_use: Callable[[], bool] = lambda: True):
         self.active = False
+        self._in_use = in_use
         self.over_share: dict[str, float] = {}
         self._counters: dict[int, WorkCounter] = {}
         self._untagged_s: dict[int, float] = collections.defaultdict(float)
@@ -245,7 +250,7 @@
             slots: Current number of slots.
             now_s: The current time.
         """
-        if level >= levels.OPEN:
+        if level >= levels.OPEN or not self._in_use():
             self._reset()
             return
         if not self.active:
@@ -340,6 +345,16 @@
     return {tag: round(ratio, 2) for tag, ratio in ranked[:MAX_NAMED]}
 
 
+def merged(
+    one: Mapping[str, float], other: Mapping[str, float]
+) -> dict[str, float]:
+    """Returns the higher ratio of each account, in a bounded number."""
+    ratios = dict(one)
+    for tag, ratio in other.items():
+        ratios[tag] = max(ratios.get(tag, 0.0), ratio)
+    return largest(ratios)
+
+
 @dataclasses.dataclass(slots=True)
 class _Report:
     """Accounts above their share of a service, as received.
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -95,6 +95,8 @@
             usual time; 1.0 if unknown.
         over_share: Client accounts above their fair share of the service, by
             tag, with their demand relative to that share.
+        over_share_age_s: Time since a guard computed `over_share`, if another
+            guard passes it on.
     """
 
     outcome: Outcome
@@ -116,6 +118,7 @@
     report: self_reports.SelfReport | None = None
     pace: float = 1.0
     over_share: dict[str, float] | None = None
+    over_share_age_s: float = 0.0
 
 
 _STATUS_OF_REASON = {
--- a/tests/unit/test_route_filter.py
+++ b/tests/unit/test_route_filter.py
@@ -7,6 +7,7 @@
 
 from burdockfront import allowance
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import levels
 from burdockfront import outcomes
 from burdockfront import routes
@@ -57,11 +58,13 @@
 
 def _remaining_at_the_guard_s(call: calls.Call) -> float:
     recorder = timeline.Recorder("n1", "dc1", 10)
+    level_tracker = levels.LevelTracker()
     sender = sender_lib.Sender(
         "n1",
         builders.a_key_ring(),
         routing.Router("dc1", random.Random(1)),
-        levels.LevelTracker(),
+        level_tracker,
+        fair_shares.ShareTracker(level_tracker),
         recorder,
         calls.Counters(),
         None,
