Entries order the work of accounts above their share after that of others

Cause: guards can name accounts, but calls say nothing about their account, and entries give each request the same ordinal whatever its account sends.

Change: calls of a request with a client account carry a digest of the account's name, computed once per table. Nested calls inherit it, and no backend server gets it. While a service names accounts, the entry orders new work of the classes that need it by the named ratios. The setting routed.fair_shares switches the part off.

--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -8,6 +8,7 @@
 
 from burdockfront import accounts
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import registry
@@ -142,6 +143,7 @@
         reserved_with_accounts: Further reserved headers, where callers need an
             API key.
         quotas: Quotas of client accounts.
+        shares: Accounts above their fair share; None if unused.
     """
 
     resolver: routes.RouteResolver
@@ -152,6 +154,7 @@
     key_header: str
     reserved_with_accounts: frozenset[str]
     quotas: Quotas
+    shares: fair_shares.ShareTracker | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -46,6 +46,7 @@
         self._rng = random.Random(secrets.randbits(64))
         self._is_new_work = routed.is_new_work
         self._parent_of = routed.parent_of
+        self._shares = routed.shares
 
     def retry_after_s(self, entry: base.Entry) -> float:
         """Returns the retry-after time of a request refused for overload.
@@ -80,15 +81,30 @@
         entry.target = request.target
         remaining_s = deadline_s - time.monotonic()
         if parent is None:
+            ordinal = identify.ordinal_of(entry.caller_request_id)
+            account_tag = ""
+            if self._shares is not None and self._resolver.accounts.in_use:
+                if account is not None:
+                    tags = self._resolver.accounts.tags
+                    account_tag = tags.get(account.name, "")
+                if self._shares.any_named and new_work:
+                    ordinal, account_tag = self._shares.terms_of(
+                        match.service,
+                        route.name,
+                        account_tag,
+                        ordinal,
+                        time.monotonic(),
+                    )
             entry.context = context_lib.RequestContext(
                 request_id=entry.caller_request_id,
                 attempt_id=entry.caller_request_id,
                 class_name=route.name,
                 rank=self._resolver.accounts.rank_of(account, route.rank),
-                ordinal=identify.ordinal_of(entry.caller_request_id),
+                ordinal=ordinal,
                 depth=0 if new_work else 1,
                 remaining_s=remaining_s,
                 allowance=units,
+                account_tag=account_tag,
             )
         else:
             entry.context = context_lib.RequestContext(
@@ -102,6 +118,7 @@
                 allowance=units,
                 parent=parent.attempt_id,
                 repeated=parent.repeated,
+                account_tag=parent.account_tag,
             )
         entry.deadline_s = deadline_s
         entry.call = calls.Call(
--- a/packages/burdockfront-node/src/burdockfront_node/handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -98,6 +98,10 @@
             # This node makes the downstream calls and keeps the allowance. If
             # the header carried it as well, it could be used twice.
             context = dataclasses.replace(context, allowance=0)
+        if context.account_tag:
+            # Accounts are no business of backend servers; their calls inherit
+            # the tag from the open attempt.
+            context = dataclasses.replace(context, account_tag="")
         key = wire.IDEMPOTENCY_KEY.lower()
         headers = [
             # The caller's ticket is opaque to a backend server. It is replaced
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -16,6 +16,7 @@
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import routes as routes_lib
 from burdockfront import watchers
+from burdockfront_node import account_shares as account_shares_lib
 from burdockfront_node import account_status as account_status_lib
 from burdockfront_node import adapters
 from burdockfront_node import availability
@@ -215,6 +216,14 @@
         self._dispatcher.observer = self._lineage.on_call_answer
         return self._lineage
 
+    def _new_shares(self) -> account_shares_lib.AccountShares | None:
+        self._shares: account_shares_lib.AccountShares | None = None
+        if self._routed.fair_shares:
+            self._shares = account_shares_lib.AccountShares(
+                self._resolver, self._dispatcher.share_tracker, self._recorder
+            )
+        return self._shares
+
     def _guard_rules(self) -> availability.GuardRules:
         return availability.GuardRules(
             drain_grace_s=0.0,
@@ -242,6 +251,7 @@
             self._adapter.dialect.key_header,
             self._adapter.dialect.reserved_with_accounts,
             self._quotas,
+            self._shares.tracker if self._shares is not None else None,
         )
         return base.Tools(
             self._dispatcher,
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -88,6 +88,7 @@
         retry_slack: Additional retries per window, of all nodes together.
         quota_slack: Requests beyond a client account's quota that are
             tolerated per window, of all nodes together.
+        fair_shares: Whether client accounts share a scarce service fairly.
     """
 
     adapter: str
@@ -101,6 +102,7 @@
     stop_s: float = pydantic.Field(default=6.0, gt=0, le=600)
     retry_slack: float = pydantic.Field(default=40.0, ge=0)
     quota_slack: float = pydantic.Field(default=0.0, ge=0)
+    fair_shares: pydantic.StrictBool = True
 
 
 class NodeSettings(_Model):
--- a/tests/route_chain.py
+++ b/tests/route_chain.py
@@ -4,6 +4,7 @@
 import random
 
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import outcomes
 from burdockfront import policy
 from burdockfront import routes
@@ -26,6 +27,7 @@
         new_work: Whether requests count as requests of callers.
         parent: The request on whose behalf each request is made.
         quotas: Quotas of the accounts.
+        shares: Accounts above their fair share; None: the part is off.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         new_work: bool = True,
         parent: context_lib.RequestContext | None = None,
         quotas: base.Quotas | None = None,
+        shares: fair_shares.ShareTracker | None = None,
     ):
         resolver = routes.RouteResolver(random.Random(1))
         if table is not None:
@@ -48,6 +51,7 @@
             "x-api-key",
             frozenset(["x-api-key", "tenant"]),
             quotas or nodes.NoQuotas(),
+            shares,
         )
         tools = base.Tools(
             builders.a_dispatcher(self.recorder),
