Operators see which accounts are above their share, and of which service

Cause: a request refused because its account asks for more than its share looked like any other refusal for overload.

Change: `show shares` merges what guards name and what nodes heard; `why request` says the ratio and the short services for refusals at a guard; three metrics per node on the metrics port. Refusals that an entry makes itself before it asks a guard have no ratio in their event.

--- a/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/language.py
@@ -2,7 +2,7 @@
 
 show members | show nodes | show policy SERVICE | show levels
 show quarantine | show limits
-show accounts
+show accounts | show shares
 why request ID | why class NAME at SERVICE | why node NAME
 timeline [request ID] [node NAME] [dc NAME] [kind KIND] [last N]
 history SERVICE
@@ -29,6 +29,7 @@
     | "show" "quarantine" -> show_quarantine
     | "show" "limits" -> show_limits
     | "show" "accounts" -> show_accounts
+    | "show" "shares" -> show_shares
     | "show" "policy" WORD -> show_policy
 why: "why" "request" WORD -> why_request
    | "why" "class" WORD "at" WORD -> why_class
@@ -161,6 +162,9 @@
     def show_accounts(self, _: Any) -> Show:
         return Show("accounts")
 
+    def show_shares(self, _: Any) -> Show:
+        return Show("shares")
+
     def show_limits(self, _: Any) -> Show:
         return Show("limits")
 
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/queries.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/queries.py
@@ -10,6 +10,7 @@
 from burdockfront_ctl import limits as limits_lib
 from burdockfront_ctl import nodes as nodes_lib
 from burdockfront_ctl import render
+from burdockfront_ctl import shares as shares_lib
 
 _MAX_EVENTS = 5_000
 _REASONS = {
@@ -55,6 +56,8 @@
             return await limits_lib.show(nodes)
         case "accounts":
             return await accounts_lib.show(nodes)
+        case "shares":
+            return await shares_lib.show(nodes)
         case _:
             return await _policy(nodes, command.name)
 
@@ -238,6 +241,14 @@
             f"{detail['reason']}, priority {detail['priority']} with the "
             f"guard's level at {detail['level']}"
         )
+        # Nodes of an earlier version do not record this.
+        if detail.get("over_share"):
+            short = ", ".join(detail["short_services"])
+            text += (
+                f". Its client account asks for {detail['over_share']} times "
+                f"its fair share of {short or detail['service']}, which is "
+                f"short of slots; see 'show shares'"
+            )
     return text + "."
 
 
--- a/packages/burdockfront-node/src/burdockfront_node/account_shares.py
+++ b/packages/burdockfront-node/src/burdockfront_node/account_shares.py
@@ -4,7 +4,12 @@
 """
 
 import time
+from collections.abc import Iterator
+from typing import Any
 
+from prometheus_client import core
+
+from burdockfront import context as context_lib
 from burdockfront import fair_shares
 from burdockfront import outcomes
 from burdockfront import routes
@@ -78,6 +83,56 @@
             over_share=self.names_of(named),
         )
 
+    def refusal_detail(
+        self, context: context_lib.RequestContext, now_s: float
+    ) -> dict[str, Any]:
+        """Returns why a request of an account above its share was refused.
+
+        Returns:
+            The account's ratio and the services that name it, lowest first;
+            empty if the request was sent under no ratio above 1.
+        """
+        tag, ratio = fair_shares.parse_mark(context.account_tag)
+        if ratio <= 1.0:
+            return {}
+        short = [
+            service
+            for service, ratios in self.tracker.reports(now_s).items()
+            if tag in ratios
+        ]
+        return {"over_share": ratio, "short_services": sorted(short)}
+
+    async def status(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Returns the accounts named by this guard and those it heard of."""
+        reports = self.tracker.reports(time.monotonic())
+        return {
+            "short": self.meter.active,
+            "over_share": self.names_of(self.meter.over_share),
+            "heard": {
+                service: self.names_of(ratios)
+                for service, ratios in reports.items()
+            },
+        }
+
+    def metrics(self) -> Iterator[core.Metric]:
+        """Yields the number of named accounts, and the largest ratio."""
+        named = self.meter.over_share
+        yield core.GaugeMetricFamily(
+            "burdockfront_shares_named",
+            "client accounts above their share of this node's service",
+            value=len(named),
+        )
+        yield core.GaugeMetricFamily(
+            "burdockfront_shares_largest_ratio",
+            "largest demand of a client account relative to its share",
+            value=max(named.values(), default=0.0),
+        )
+        yield core.CounterMetricFamily(
+            "burdockfront_shares_applied",
+            "new requests of client accounts above their share",
+            value=self.tracker.applied,
+        )
+
     def names_of(self, ratios: dict[str, float]) -> dict[str, float]:
         """Returns the ratios by account name, or by tag if it is unknown."""
         names = self._resolver.accounts.names_by_tag
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -12,6 +12,7 @@
 import dataclasses
 import time
 from collections.abc import Callable
+from typing import Any
 
 from burdockfront import admission
 from burdockfront import context as context_lib
@@ -389,10 +390,18 @@
             limit_per_s=self.self_reports.report.limit_per_s,
             waited_s=round(waited_s, 4),
             remaining_s=round(context.remaining_s, 3),
+            **self._share_detail(context),
         )
         unspent = attempt.context.allowance
         return dataclasses.replace(refusal, unspent=unspent)
 
+    def _share_detail(
+        self, context: context_lib.RequestContext
+    ) -> dict[str, Any]:
+        if self._shares is None:
+            return {}
+        return self._shares.refusal_detail(context, time.monotonic())
+
     def _with_state(
         self, attempt: calls.Attempt, answer: outcomes.Answer
     ) -> outcomes.Answer:
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -11,6 +11,9 @@
 import random
 import secrets
 import time
+from collections.abc import Iterator
+
+from prometheus_client import core
 
 from burdockfront import freshness
 from burdockfront import incarnations as incarnations_lib
@@ -293,7 +296,7 @@
             )
         )
         exposition = exposition_lib.Exposition(
-            self._metrics, self._latencies, self._log, self._accounts.metrics
+            self._metrics, self._latencies, self._log, self._account_metrics
         )
         return [
             http_port.Port(
@@ -324,7 +327,16 @@
         }
 
     def _extra_operator_handlers(self) -> dict[str, internal_app.JsonHandler]:
-        return {"/operator/accounts": self._accounts.accounts}
+        handlers: dict[str, internal_app.JsonHandler]
+        handlers = {"/operator/accounts": self._accounts.accounts}
+        if self._shares is not None:
+            handlers["/operator/shares"] = self._shares.status
+        return handlers
+
+    def _account_metrics(self) -> Iterator[core.Metric]:
+        yield from self._accounts.metrics()
+        if self._shares is not None:
+            yield from self._shares.metrics()
 
     def _is_ready(self) -> bool:
         """Whether callers may send requests to this node."""
--- a/tests/unit/test_account_shares.py
+++ b/tests/unit/test_account_shares.py
@@ -4,6 +4,7 @@
 `test_fair_shares`.
 """
 
+import asyncio
 import random
 import time
 
@@ -269,3 +270,33 @@
     found = recorder.select(timeline.Filter(kind="guard.shares"), 100)
     assert 1 <= len(found) <= 6
     assert found[0].detail["over_share"] == {"acme": 3.0}
+
+
+def test_status_and_metrics_give_names_and_ratios():
+    tracker = _tracker()
+    tracker.observe("fees", "browse", {_TAG: 2.0}, 0.0, time.monotonic())
+    shares = _shares(_ACME, tracker=tracker)
+    shares.meter.over_share = {_TAG: 3.0, "0000": 5.0}
+    status = asyncio.run(shares.status({}))
+    assert status["over_share"] == {"acme": 3.0, "0000": 5.0}
+    assert status["heard"] == {"fees": {"acme": 2.0}}
+    values = {
+        sample.name: sample.value
+        for metric in shares.metrics()
+        for sample in metric.samples
+    }
+    assert values["burdockfront_shares_named"] == 2
+    assert values["burdockfront_shares_largest_ratio"] == 5.0
+
+
+def test_refusal_names_the_ratio_and_the_short_service():
+    tracker = _tracker()
+    tracker.observe("fees", "browse", {_TAG: 2.0}, 0.0, 1.0)
+    shares = _shares(_ACME, tracker=tracker)
+    context = builders.a_context(account_tag=f"{_TAG}~2")
+    assert shares.refusal_detail(context, 1.0) == {
+        "over_share": 2.0,
+        "short_services": ["fees"],
+    }
+    other = builders.a_context(account_tag=f"{_TAG}~1")
+    assert shares.refusal_detail(other, 1.0) == {}
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -87,3 +87,24 @@
         backend.parse_announcement(
             {"service": "fees", "address": "127.0.0.1:1", "slots": 0}
         )
+
+
+@pytest.mark.parametrize("value", ["maybe", 1, "true"])
+def test_fair_shares_are_on_or_off(value):
+    routed = {
+        "adapter": "x",
+        "service": "fees",
+        "backend_address": "127.0.0.1:1",
+        "heartbeat_address": "127.0.0.1:2",
+        "ready_address": "127.0.0.1:3",
+        "metrics_address": "127.0.0.1:4",
+        "store_address": "127.0.0.1:5",
+    }
+    found = settings.parse(_document(routed=routed), "x")
+    assert found.routed.fair_shares
+    off = settings.parse(
+        _document(routed={**routed, "fair_shares": False}), "x"
+    )
+    assert not off.routed.fair_shares
+    with pytest.raises(errors.SettingsError, match=r"routed\.fair_shares"):
+        settings.parse(_document(routed={**routed, "fair_shares": value}), "x")
