Fair shares: remember accounts' work for longer where calls are few

Cause: on a small site a guard gets a few calls of each account in a second. Of 30 equal accounts the ninth largest then seems far larger than it is, and it is what the named ones are compared with if more than eight are above their share.

Change: the counts decay by 6 to 25% per window, so that about 15 calls per account remain in them.

--- a/packages/burdockfront/src/burdockfront/fair_shares.py
+++ b/packages/burdockfront/src/burdockfront/fair_shares.py
@@ -41,9 +41,12 @@
 # Part of the slots that remains for a rank even if more important ranks fill
 # them all.
 _MIN_ROOM_SHARE = 0.05
-# Weight of earlier windows in the counts. A window of 0.25 s has only a few
-# calls of each account.
-_DECAY = 0.75
+# Weight of earlier windows in the counts, which depends on the number of calls:
+# with three calls of each account in memory, the ninth largest of 30 equal
+# accounts seemed three times as large as it was.
+_MIN_DECAY = 0.75
+_MAX_DECAY = 0.94
+_CALLS_PER_ACCOUNT = 15
 _RATIO_WEIGHT = 0.5
 # An account is named above the first ratio, and until it is below the second.
 _NAME_ABOVE = 1.25
@@ -215,6 +218,7 @@
             maxlen=_DELAY_WINDOWS + 1
         )
         self._window_weight_s = 0.0
+        self._calls = 0
         self._begin_s = 0.0
 
     def record(
@@ -226,6 +230,7 @@
             context: Its context.
             work_s: Slot time that calls of its class take.
         """
+        self._calls += 1
         tag, ratio = parse_mark(context.account_tag)
         if ratio:
             if context.ordinal >= BAND:
@@ -264,11 +269,19 @@
         self._begin_s = now_s
         self._window_weight_s += elapsed_s
         self._update(level, slots)
-        self._window_weight_s *= _DECAY
+        decay = self._decay()
+        self._calls = 0
+        self._window_weight_s *= decay
         for counter in self._counters.values():
-            counter.decay(_DECAY)
+            counter.decay(decay)
         for rank in self._untagged_s:
-            self._untagged_s[rank] *= _DECAY
+            self._untagged_s[rank] *= decay
+
+    def _decay(self) -> float:
+        """Returns the factor at which enough calls remain in the counts."""
+        accounts = max(map(len, self._counters.values()), default=0)
+        wanted = max(1, _CALLS_PER_ACCOUNT * accounts)
+        return min(_MAX_DECAY, max(_MIN_DECAY, 1.0 - self._calls / wanted))
 
     def _reset(self) -> None:
         if not self.active:
@@ -279,6 +292,7 @@
         self._untagged_s.clear()
         self._past_levels.clear()
         self._window_weight_s = 0.0
+        self._calls = 0
 
     def _update(self, level: int, slots: float) -> None:
         """Computes the ratios of the rank at the level."""
