Site model: requests of client accounts, and one account that sends more

Cause: fair shares were tested in a model of entries and guards of one service, not with the product's entries, routers and guards and several layers.

Change: a sheet may have client accounts, and a trouble `hot` multiplies what one of them sends. Requests carry its key, and results are also counted by account. A site without accounts plays as before. The loop of one service is tested at 7 times the usual load, too.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -24,6 +24,7 @@
 from burdockfront_client import calls
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_client import peers
+from burdockfront_node import account_shares
 from burdockfront_node import availability
 from burdockfront_node import backend
 from burdockfront_node import guard as guard_lib
@@ -33,6 +34,7 @@
 from burdockfront_node.internal import messages
 
 HOST = "site.example"
+_KEY_HEADER = "x-api-key"
 _ORDER = ("route", "dispatch")
 _LEDGER_BYTES = 10_000_000
 _TICKET_S = 900.0
@@ -135,6 +137,7 @@
         carry: Brings attempts to other nodes.
         retry_burst: Unearned retries of a service that it may make.
         terms: Hears which words of servers it passes on.
+        fair_shares: Whether client accounts share scarce services fairly.
     """
 
     def __init__(
@@ -147,6 +150,7 @@
         carry: Carry,
         retry_burst: float,
         terms: terms_lib.TermsLog,
+        fair_shares: bool = False,
     ):
         self.place = place
         self.server = server
@@ -156,6 +160,7 @@
         self._carry = carry
         self._retry_burst = retry_burst
         self._terms = terms
+        self._fair_shares = fair_shares
         self._way = _Way(server)
         self._build()
 
@@ -198,6 +203,13 @@
         self.dispatcher.observer = lineage.on_call_answer
         ready = asyncio.Event()
         ready.set()
+        book = routes_lib.RouteResolver(self._rng)
+        book.accept(self._table)
+        shares = None
+        if self._fair_shares:
+            shares = account_shares.AccountShares(
+                book, self.dispatcher.share_tracker, recorder
+            )
         self.guard = guard_lib.Guard(
             place.node_id,
             ledger.Ledger(
@@ -212,6 +224,7 @@
             self._way,
             _RULES,
             lineage,
+            shares=shares,
         )
         self.guard.announce(
             backend.Announcement(
@@ -226,17 +239,16 @@
         )
         self.dispatcher.sender.local_guard = self._ask_own_guard
         self.dispatcher.sender.transport = self._ask_guard
-        book = routes_lib.RouteResolver(self._rng)
-        book.accept(self._table)
         routed = base.RoutedTools(
             book,
             frozenset(),
             place.service.name,
             lineage.is_new_work,
             lineage.parent_of,
-            "",
-            frozenset(),
+            _KEY_HEADER,
+            frozenset([_KEY_HEADER]),
             NoQuotas(),
+            shares.tracker if shares is not None else None,
         )
         tools = base.Tools(
             self.dispatcher,
@@ -284,12 +296,14 @@
         request_class: sheet_lib.RequestClass,
         request_id: str,
         left_s: float,
+        account: str = "",
     ) -> outcomes.Answer:
         """Sends a request into this node, as its callers do."""
+        key = ((_KEY_HEADER, account),) if account else ()
         request = messages.Request(
             "POST" if request_class.confirms else "GET",
             f"/{request_class.name}/{request_id}",
-            (("host", HOST),),
+            (("host", HOST), *key),
             b"",
         )
         entry = base.Entry(
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
@@ -24,6 +24,7 @@
         useful: Share of the used slot time that went into good answers.
         over_limit: Servers that got more than they had named.
         after_leaving: Requests for servers that had said that they leave.
+        accounts: By client account and kind of request.
     """
 
     tallies: dict[str, Tally]
@@ -31,3 +32,6 @@
     useful: float
     over_limit: int = 0
     after_leaving: int = 0
+    accounts: dict[tuple[str, str], Tally] = dataclasses.field(
+        default_factory=dict
+    )
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/sheet.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/sheet.py
@@ -78,13 +78,14 @@
         kind: `burst` (of all callers), `slow`, `shed` (servers refuse a part
             of what they get), `lost` (nodes and servers are gone), `limit`
             (servers name on their answers how much they take), `leave` (they
-            say there that they leave) or `anew` (the processes of nodes are
-            replaced, at the beginning).
+            say there that they leave), `anew` (the processes of nodes are
+            replaced, at the beginning) or `hot` (a client account sends more).
         at_s: From the start of traffic.
         for_s: How long.
         x: Factor, or the part that is refused, or requests a second.
         share: Of the servers that it strikes.
         service: Whose; empty: all.
+        account: Which client account is hot.
     """
 
     kind: str
@@ -93,12 +94,26 @@
     x: float = 1.0
     share: float = 1.0
     service: str = ""
+    account: str = ""
 
     def lasts(self, now_s: float) -> bool:
         """Whether it is on."""
         return self.at_s <= now_s < self.at_s + self.for_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account of callers.
+
+    Attributes:
+        name: Its name, which is also its key.
+        weight: Part of the requests that belong to it, relative to the others.
+    """
+
+    name: str
+    weight: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sheet:
     """A site.
@@ -107,6 +122,7 @@
         services: Its services.
         classes: Kinds of requests.
         data_centers: Servers are spread over these in turn.
+        accounts: Client accounts that requests belong to; none: no keys.
         near_s: One way within a data centre.
         far_s: One way to another one.
     """
@@ -114,6 +130,7 @@
     services: tuple[Service, ...]
     classes: tuple[RequestClass, ...]
     data_centers: tuple[str, ...] = ("dc1", "dc2")
+    accounts: tuple[ClientAccount, ...] = ()
     near_s: float = 0.0001
     far_s: float = 0.001
 
--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/site.py
@@ -3,10 +3,12 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 import time
 from typing import Any
 
+from burdockfront import accounts as accounts_lib
 from burdockfront import guards
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
@@ -36,6 +38,7 @@
         seed: Of all draws.
         admission: Kind of admission; see `burdockfront.admission`.
         troubles: What happens to it.
+        fair_shares: Whether client accounts share scarce services fairly.
     """
 
     def __init__(
@@ -44,15 +47,20 @@
         seed: int,
         admission: str = "flow",
         troubles: tuple[sheet_lib.Trouble, ...] = (),
+        fair_shares: bool = True,
     ):
         self._sheet = sheet
         self._rng = random.Random(seed)
         self._troubles = troubles
+        self._fair_shares = fair_shares
         self._classes = {one.name: one for one in sheet.classes}
         self._policy = policy_lib.parse(_policy_document(admission))
         self._tallies: dict[str, results.Tally] = collections.defaultdict(
             results.Tally
         )
+        self._account_tallies: dict[tuple[str, str], results.Tally] = (
+            collections.defaultdict(results.Tally)
+        )
         self._nodes: dict[str, nodes_lib.ModelNode] = {}
         self._terms = terms_lib.TermsLog()
         self._earned = 0.0
@@ -85,6 +93,7 @@
             useful_s / max(1e-9, used_s),
             len(self._terms.over_limit()),
             self._terms.after_leaving,
+            dict(self._account_tallies),
         )
 
     async def _tick_forever(self, node: nodes_lib.ModelNode) -> None:
@@ -120,6 +129,7 @@
                 self._carry,
                 _SLACK / 2 / len(places),
                 self._terms,
+                self._fair_shares,
             )
         for node in self._nodes.values():
             node.dispatcher.router.update(place.target() for place in places)
@@ -184,11 +194,16 @@
                 target_latency_s=one.target_s,
                 rank=one.rank,
                 max_attempts=_ATTEMPTS,
+                public=True,
             )
             for one in self._sheet.classes
         )
         host = routes_lib.VirtualHost(nodes_lib.HOST, found)
-        return routes_lib.RouteTable(1, (host,))
+        found_accounts = tuple(
+            accounts_lib.Account(one.name, (accounts_lib.digest_of(one.name),))
+            for one in self._sheet.accounts
+        )
+        return routes_lib.RouteTable(1, (host,), accounts=found_accounts)
 
     # ---- ways -------------------------------------------------------------
 
@@ -231,11 +246,15 @@
                 now_s = time.monotonic() - self._began_s
                 if trouble.kind == "burst" and trouble.lasts(now_s):
                     rate *= trouble.x
+            if self._sheet.accounts:
+                usual = sum(one.weight for one in self._sheet.accounts)
+                rate *= sum(self._weights()) / usual
             await asyncio.sleep(rng.expovariate(rate))
             if time.monotonic() >= until_s:
                 return sent
             number = f"{request_class.name}{len(sent)}"
-            asking = self._ask(request_class, number, rng)
+            account = self._account(rng)
+            asking = self._ask(request_class, number, rng, account)
             sent.append(asyncio.create_task(asking))
 
     async def _ask(
@@ -243,19 +262,22 @@
         request_class: sheet_lib.RequestClass,
         number: str,
         rng: random.Random,
+        account: str,
     ) -> None:
         """A caller who comes back once, as told."""
         began_s = time.monotonic()
-        answer = await self._try(request_class, f"{number}a", began_s, rng)
+        answer = await self._try(
+            request_class, f"{number}a", began_s, rng, account
+        )
         if answer.outcome is outcomes.Outcome.NOT_RUN:
             left_s = began_s + request_class.deadline_s - time.monotonic()
             wait_s = answer.retry_after_s or 0.0
             if wait_s <= left_s * _PATIENCE_SHARE:
                 await asyncio.sleep(wait_s)
                 answer = await self._try(
-                    request_class, f"{number}b", began_s, rng
+                    request_class, f"{number}b", began_s, rng, account
                 )
-        self._count(request_class, answer, time.monotonic() - began_s)
+        self._count(request_class, account, answer, time.monotonic() - began_s)
 
     async def _try(
         self,
@@ -263,35 +285,78 @@
         request_id: str,
         began_s: float,
         rng: random.Random,
+        account: str,
     ) -> outcomes.Answer:
         standing = [n for n in self._nodes.values() if not self._is_lost(n)]
         node = rng.choice(standing)
         left_s = began_s + request_class.deadline_s - time.monotonic()
-        return await node.ask(request_class, request_id, left_s)
+        return await node.ask(request_class, request_id, left_s, account)
 
     def _count(
         self,
         request_class: sheet_lib.RequestClass,
+        account: str,
         answer: outcomes.Answer,
         took_s: float,
     ) -> None:
+        if account:
+            of_account = self._account_tallies[(account, request_class.name)]
+            _add(of_account, request_class, answer, took_s)
         tally = self._tallies[request_class.name]
-        tally.asked += 1
+        _add(tally, request_class, answer, took_s)
         self._owed += request_class.worth
-        good = (
-            answer.outcome is outcomes.Outcome.DONE
-            and answer.status < _LATE_LIMIT
-        )
-        if good and took_s <= request_class.target_s:
-            tally.in_time += 1
+        if not _is_good(answer):
+            return
+        if took_s <= request_class.target_s:
             self._earned += request_class.worth
-        elif good:
-            tally.late += 1
+        else:
             self._earned += request_class.worth * request_class.late_worth
-        elif answer.outcome is outcomes.Outcome.NOT_RUN:
+
+    def _weights(self) -> list[float]:
+        """Returns the present weights of the accounts."""
+        now_s = time.monotonic() - self._began_s
+        return [
+            one.weight
+            * math.prod(
+                trouble.x
+                for trouble in self._troubles
+                if trouble.kind == "hot"
+                and trouble.account == one.name
+                and trouble.lasts(now_s)
+            )
+            for one in self._sheet.accounts
+        ]
+
+    def _account(self, rng: random.Random) -> str:
+        """Draws the account of a request; empty if there are none."""
+        if not self._sheet.accounts:
+            return ""
+        drawn = rng.choices(self._sheet.accounts, self._weights())
+        return drawn[0].name
+
+
+def _is_good(answer: outcomes.Answer) -> bool:
+    done = answer.outcome is outcomes.Outcome.DONE
+    return done and answer.status < _LATE_LIMIT
+
+
+def _add(
+    tally: results.Tally,
+    request_class: sheet_lib.RequestClass,
+    answer: outcomes.Answer,
+    took_s: float,
+) -> None:
+    """Counts a request."""
+    tally.asked += 1
+    if not _is_good(answer):
+        if answer.outcome is outcomes.Outcome.NOT_RUN:
             tally.refused += 1
         else:
             tally.failed += 1
+    elif took_s <= request_class.target_s:
+        tally.in_time += 1
+    else:
+        tally.late += 1
 
 
 def run(
@@ -300,11 +365,13 @@
     length_s: float,
     admission: str = "flow",
     troubles: tuple[sheet_lib.Trouble, ...] = (),
+    fair_shares: bool = True,
 ) -> results.Result:
     """Plays a site in virtual time."""
 
     async def play() -> results.Result:
-        return await Site(sheet, seed, admission, troubles).play(length_s)
+        site = Site(sheet, seed, admission, troubles, fair_shares)
+        return await site.play(length_s)
 
     return virtual_time.run(play())
 
--- a/tests/unit/test_fair_shares.py
+++ b/tests/unit/test_fair_shares.py
@@ -247,9 +247,12 @@
     }
 
 
-def _with_hot(rates: dict[str, float], *hot: str) -> dict[str, float]:
+def _with_hot(
+    rates: dict[str, float], *hot: str, times: float = 14.0
+) -> dict[str, float]:
     return {
-        name: rate * (14 if name in hot else 1) for name, rate in rates.items()
+        name: rate * (times if name in hot else 1.0)
+        for name, rate in rates.items()
     }
 
 
@@ -278,6 +281,21 @@
     assert max(model.level_log) - min(model.level_log) < 96, "no oscillation"
 
 
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_account_at_seven_times_its_usual_load_is_cut_to_what_is_left(
+    seed: int,
+):
+    # The demand is 1.1 times the capacity.
+    model = share_model.ShareModel(seed)
+    rates = _with_hot(_usual(model), "a4", times=7.0)
+    model.run(3.0, _usual(model))
+    model.run(5.0, rates)
+    model.forget()
+    model.run(20.0, rates)
+    assert _small_share(model, "a4") > 0.97
+    assert model.served_share("a4") < 0.7
+
+
 @pytest.mark.parametrize("seed", _SEEDS)
 def test_three_hot_accounts_get_equal_rates(seed: int):
     # a12 asks for two thirds of what a4 and a9 ask for.
