--- a/packages/burdockfront/src/burdockfront/fair_shares.py
+++ b/packages/burdockfront/src/burdockfront/fair_shares.py
@@ -457,7 +457,8 @@
         report = self._reports.get((service, class_name))
         if report is None or now_s - report.at_s >= REPORT_LIFETIME_S:
             return ordinal, account_tag
-        ratio = max(1.0, report.ratios.get(account_tag, 1.0))
+        named = report.ratios.get(account_tag, 1.0)
+        ratio = min(_MAX_RATIO, max(1.0, named))
         if ratio > 1.0:
             self.applied += 1
         return ordinal_in_bands(ordinal, ratio), mark(account_tag, ratio)
--- a/tests/unit/test_fair_shares.py
+++ b/tests/unit/test_fair_shares.py
@@ -232,6 +232,17 @@
     assert len(tracker.reports(1.0)["fees"]) <= 2 * fair_shares.MAX_NAMED
 
 
+@pytest.mark.parametrize("ratio", [0.2, 1e6])
+def test_received_ratio_out_of_range_is_limited(ratio: float):
+    # Failure: a tag with a ratio that guards do not read counts as sent under
+    # none, and the account's demand is underestimated.
+    tracker = _tracker()
+    tracker.observe("fees", "look-up", {"a": ratio}, 0.0, 1.0)
+    ordinal, tag = tracker.terms_of("fees", "look-up", "a", 255, 1.0)
+    assert 0 <= ordinal < context_lib.ORDINALS
+    assert fair_shares.parse_mark(tag)[1] in (1.0, 64.0)
+
+
 # ---- the loop of entries and guards --------------------------------------
 
 _ACCOUNTS = 40
