Fair shares: fewer function calls per answer of a short service

Change: averaging without key sets, and the merged report is kept until one of its parts is replaced.

--- a/packages/burdockfront-node/src/burdockfront_node/account_shares.py
+++ b/packages/burdockfront-node/src/burdockfront_node/account_shares.py
@@ -44,6 +44,8 @@
         self._recorder = recorder
         self._logged: frozenset[str] = frozenset()
         self._logged_s = 0.0
+        none: dict[str, float] = {}
+        self._merged_of = (none, none, none)
 
     def add_to(
         self, answer: outcomes.Answer, class_name: str, now_s: float
@@ -63,11 +65,24 @@
             # With the age of the older report, no report outlives its
             # lifetime by being merged into a newer one.
             age_s = now_s - at_s
-            named = fair_shares.merged(named, ratios) if named else ratios
+            named = self._merged(named, ratios) if named else ratios
         if named:
             answer.over_share = named
             answer.over_share_age_s = age_s
 
+    def _merged(
+        self, own: dict[str, float], below: dict[str, float]
+    ) -> dict[str, float]:
+        """Returns the merged reports, which few answers change.
+
+        Both reports are replaced, never modified, so they are compared by
+        identity.
+        """
+        if self._merged_of[0] is not own or self._merged_of[1] is not below:
+            merged = fair_shares.merged(own, below)
+            self._merged_of = (own, below, merged)
+        return self._merged_of[2]
+
     def log_change(self, now_s: float) -> None:
         """Records a change of the accounts that this guard names."""
         named = self.meter.over_share
--- a/packages/burdockfront/src/burdockfront/fair_shares.py
+++ b/packages/burdockfront/src/burdockfront/fair_shares.py
@@ -426,15 +426,21 @@
         if known is None or now_s - known.at_s >= REPORT_LIFETIME_S:
             self._reports[key] = _Report(largest(over_share), at_s)
             return
+        # Runs for each answer of a short service, so it avoids function calls
+        # for each account.
         ratios = {}
-        for tag in known.ratios.keys() | over_share.keys():
-            before = known.ratios.get(tag, 1.0)
-            target = max(1.0, over_share.get(tag, 1.0))
+        for tag, before in known.ratios.items():
+            target = over_share.get(tag, 1.0)
             ratio = before + _RECEIVED_WEIGHT * (target - before)
             if ratio >= _KEEP_ABOVE or tag in over_share:
-                ratios[tag] = min(_MAX_RATIO, ratio)
-        ranked = sorted(ratios.items(), key=lambda item: -item[1])
-        known.ratios = dict(ranked[: 2 * MAX_NAMED])
+                ratios[tag] = ratio
+        for tag, target in over_share.items():
+            if tag not in ratios:
+                ratios[tag] = 1.0 + _RECEIVED_WEIGHT * (target - 1.0)
+        if len(ratios) > 2 * MAX_NAMED:
+            ranked = sorted(ratios.items(), key=lambda item: -item[1])
+            ratios = dict(ranked[: 2 * MAX_NAMED])
+        known.ratios = ratios
         known.at_s = max(known.at_s, at_s)
 
     def terms_of(
