--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/results.py
@@ -26,6 +26,7 @@
         after_leaving: Requests for servers that had said that they leave.
         usage: Share of the slot time of each server that was used.
         far_calls: Calls to other data centres.
+        accounts: By client account and kind of request.
     """
 
     tallies: dict[str, Tally]
@@ -35,3 +36,6 @@
     after_leaving: int = 0
     usage: dict[str, float] = dataclasses.field(default_factory=dict)
     far_calls: int = 0
+    accounts: dict[tuple[str, str], Tally] = dataclasses.field(
+        default_factory=dict
+    )
--- a/packages/burdockfront-client/src/burdockfront_client/feedback.py
+++ b/packages/burdockfront-client/src/burdockfront_client/feedback.py
@@ -3,6 +3,7 @@
 import collections
 import time
 
+from burdockfront import fair_shares
 from burdockfront import guards
 from burdockfront import levels
 from burdockfront import outcomes
@@ -37,6 +38,7 @@
     Args:
         router: Receives answers, latencies and rate limits of guards.
         level_tracker: Receives the admission levels on answers.
+        share_tracker: Receives the accounts above their share on answers.
         recorder: Records events.
         counters: Totals to update.
 
@@ -49,6 +51,7 @@
         self,
         router: routing.Router,
         level_tracker: levels.LevelTracker,
+        share_tracker: fair_shares.ShareTracker,
         recorder: timeline.Recorder,
         counters: calls.Counters,
     ):
@@ -56,6 +59,7 @@
         self.far_bytes: collections.Counter[str] = collections.Counter()
         self._router = router
         self._level_tracker = level_tracker
+        self._share_tracker = share_tracker
         self._recorder = recorder
         self._counters = counters
         # Guards whose last pace was not the usual one.
@@ -107,6 +111,14 @@
                 now_s,
                 answer.bottleneck,
             )
+        if answer.over_share:
+            self._share_tracker.observe(
+                call.service,
+                call.context.class_name,
+                answer.over_share,
+                answer.over_share_age_s,
+                now_s,
+            )
         if self._router.is_far(target):
             self._record_transfer(call, answer)
 
--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -63,12 +63,13 @@
 _PARTS_WITHOUT_REPORT = 14
 _PARTS_WITHOUT_SERVER_STATE = 15
 # Fields of the server state on an answer: the pace of the backend server, and
-# the client accounts above their fair share.
+# the client accounts above their fair share, with the age of that report.
 _PACE = "p"
 _OVER_SHARE = "h"
 # The service whose level the answer has, and the levels of short services.
 _BOTTLENECK = "b"
 _SERVICE_LEVELS = "s"
+_OVER_SHARE_AGE = "a"
 _OUTCOMES = {outcome.value: outcome for outcome in outcomes.Outcome}
 
 
@@ -268,6 +269,8 @@
         state[_PACE] = round(answer.pace, 2)
     if answer.over_share:
         state[_OVER_SHARE] = answer.over_share
+        if answer.over_share_age_s:
+            state[_OVER_SHARE_AGE] = round(answer.over_share_age_s, 3)
     if answer.service_levels:
         state[_BOTTLENECK] = answer.bottleneck
         state[_SERVICE_LEVELS] = [
@@ -359,6 +362,8 @@
         answer.over_share = {
             str(tag): _positive(ratio) for tag, ratio in over_share.items()
         }
+        age_s = state.get(_OVER_SHARE_AGE, 0.0)
+        answer.over_share_age_s = _positive(age_s) if age_s else 0.0
     answer.bottleneck = str(state.get(_BOTTLENECK, ""))
     answer.service_levels = [
         service_levels.ServiceLevel(str(service), int(level), abs(float(age_s)))
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -13,6 +13,7 @@
 from burdockfront import admission as admission_lib
 from burdockfront import admission_queue
 from burdockfront import context as context_lib
+from burdockfront import fair_shares
 from burdockfront import levels
 from burdockfront import limits
 from burdockfront import outcomes
@@ -34,6 +35,7 @@
         announcement: The backend server's first announcement.
         policy_of: Returns the active policy of a service.
         rate: Token bucket for the rate limit that the backend server reports.
+        shares: Measures the work of client accounts; None if unused.
 
     Attributes:
         cancelled: Number of calls whose callers left while they waited.
@@ -44,13 +46,15 @@
         announcement: backend_lib.Announcement,
         policy_of: Callable[[str], policy_lib.Policy],
         rate: rate_limits.RateLimit,
+        shares: fair_shares.ShareMeter | None = None,
     ):
         now_s = time.monotonic()
         self._service = announcement.service
         self._rate = rate
         self._policy_of = policy_of
         self._policy = policy_of(announcement.service)
-        rules = self._policy.admission
+        self._is_reported = False
+        rules = self._rules_of(self._policy)
         self._limit = limits.ConcurrencyLimit(
             announcement.slots,
             rules.ramp_s,
@@ -59,6 +63,8 @@
         )
         self._admission = admission_lib.create(rules, self._limit, now_s, rate)
         self._admission.service = announcement.service
+        self._shares = shares
+        self._admission.shares = shares
         self._waiting: dict[str, _Waiting] = {}
         self.cancelled = 0
 
@@ -168,21 +174,37 @@
             self._apply_policy(policy)
         self._apply(self._admission.advance(time.monotonic()))
 
+    def set_reported(self, is_reported: bool) -> None:
+        """Sets whether the backend server reports how fast it is."""
+        if is_reported is not self._is_reported:
+            self._is_reported = is_reported
+            self._apply_policy(self._policy)
+
+    def _rules_of(
+        self, policy: policy_lib.Policy
+    ) -> policy_lib.AdmissionPolicy:
+        """Returns the rules of a policy, with the kind that is in force."""
+        rules = policy.admission
+        if self._is_reported and rules.reported_kind is not None:
+            rules = dataclasses.replace(rules, kind=rules.reported_kind)
+        self._rules = rules
+        return rules
+
     def _apply_policy(self, policy: policy_lib.Policy) -> None:
-        before = self._policy
+        before = self._rules
         self._policy = policy
-        if policy.admission.kind == before.admission.kind:
-            self._admission.update_policy(policy.admission)
+        rules = self._rules_of(policy)
+        if rules.kind == before.kind:
+            self._admission.update_policy(rules)
             return
         # A policy has to take effect within seconds, but under load there may
         # never be a moment without requests. Requests that hold a slot keep it;
         # waiting ones are queued again.
         now_s = time.monotonic()
-        fresh = admission_lib.create(
-            policy.admission, self._limit, now_s, self._rate
-        )
+        fresh = admission_lib.create(rules, self._limit, now_s, self._rate)
         fresh.in_use = self._admission.in_use
         fresh.service = self._service
+        fresh.shares = self._shares
         self._admission = fresh
         for attempt_id, waiting in list(self._waiting.items()):
             if not waiting.settled.done():
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -12,6 +12,7 @@
 import dataclasses
 import time
 from collections.abc import Callable
+from typing import Any
 
 from burdockfront import admission
 from burdockfront import context as context_lib
@@ -27,6 +28,7 @@
 from burdockfront_client import calls
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_client import peers as peers_lib
+from burdockfront_node import account_shares
 from burdockfront_node import availability as availability_lib
 from burdockfront_node import backend as backend_lib
 from burdockfront_node import backend_load as backend_load_lib
@@ -74,6 +76,7 @@
             one.
         backend_load: The load and pace that the backend server reports; None
             where they are not used.
+        shares: Fair shares of client accounts; None if unused.
 
     Attributes:
         backend_load: The argument of this name.
@@ -98,12 +101,14 @@
         lineage: lineage_lib.Lineage | None = None,
         quarantine: quarantine_lib.Quarantine | None = None,
         backend_load: backend_load_lib.BackendLoad | None = None,
+        shares: account_shares.AccountShares | None = None,
     ):
         self.backend_load = backend_load
         self._server_load = backend_load.server_load if backend_load else None
         self.on_server_leaving: Callable[[incarnations.Incarnation], None]
         self.on_server_leaving = _ignore
         self._lineage = lineage
+        self._shares = shares
         self._quarantine = quarantine or quarantine_lib.standalone(recorder)
         self._rules = rules or availability_lib.GuardRules()
         self._availability = availability_lib.Availability(ready, self._rules)
@@ -215,7 +220,10 @@
         self._availability.announce(announcement)
         if self._gate is None:
             self._gate = gate_lib.Gate(
-                announcement, self._policy_of, self.self_reports.rate
+                announcement,
+                self._policy_of,
+                self.self_reports.rate,
+                self._shares.meter if self._shares else None,
             )
             self._runs.gate = self._gate
         turned_cold = announcement.state == "cold" and (
@@ -299,6 +307,8 @@
 
     def _tick(self, gate: gate_lib.Gate) -> None:
         gate.tick()
+        if self._shares is not None:
+            self._shares.log_change(time.monotonic())
         before, after = self._recorded_level, gate.level()
         if gate.spreads_level and self.announcement is not None:
             self._dispatcher.level_tracker.services.record(
@@ -436,10 +446,18 @@
             limit_per_s=self.self_reports.report.limit_per_s,
             waited_s=round(waited_s, 4),
             remaining_s=round(context.remaining_s, 3),
+            **self._share_detail(context),
         )
         unspent = attempt.context.allowance
         return dataclasses.replace(refusal, unspent=unspent)
 
+    def _share_detail(
+        self, context: context_lib.RequestContext
+    ) -> dict[str, Any]:
+        if self._shares is None:
+            return {}
+        return self._shares.refusal_detail(context, time.monotonic())
+
     def _with_state(
         self, attempt: calls.Attempt, answer: outcomes.Answer
     ) -> outcomes.Answer:
@@ -462,6 +480,12 @@
         answer.far_kb = 0.0
         if self._lineage is not None:
             answer.far_kb = self._lineage.transfer_cost_of(context.class_name)
+        answer.over_share = None
+        shares = self._shares
+        if shares is not None and (
+            shares.meter.over_share or shares.tracker.any_named
+        ):
+            shares.add_to(answer, context.class_name, time.monotonic())
         return answer
 
     def _set_levels(
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -11,11 +11,15 @@
 import random
 import secrets
 import time
+from collections.abc import Iterator
+
+from prometheus_client import core
 
 from burdockfront import freshness
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import routes as routes_lib
 from burdockfront import watchers
+from burdockfront_node import account_shares as account_shares_lib
 from burdockfront_node import account_status as account_status_lib
 from burdockfront_node import adapters
 from burdockfront_node import availability
@@ -224,6 +228,14 @@
         self._dispatcher.observer = self._lineage.on_call_answer
         return self._lineage
 
+    def _new_shares(self) -> account_shares_lib.AccountShares | None:
+        self._shares: account_shares_lib.AccountShares | None = None
+        if self._routed.fair_shares:
+            self._shares = account_shares_lib.AccountShares(
+                self._resolver, self._dispatcher.share_tracker, self._recorder
+            )
+        return self._shares
+
     def _guard_rules(self) -> availability.GuardRules:
         return availability.GuardRules(
             drain_grace_s=0.0,
@@ -251,6 +263,7 @@
             self._adapter.dialect.key_header,
             self._adapter.dialect.reserved_with_accounts,
             self._quotas,
+            self._shares.tracker if self._shares is not None else None,
         )
         return base.Tools(
             self._dispatcher,
@@ -293,7 +306,7 @@
             )
         )
         exposition = exposition_lib.Exposition(
-            self._metrics, self._latencies, self._log, self._accounts.metrics
+            self._metrics, self._latencies, self._log, self._account_metrics
         )
         return [
             http_port.Port(
@@ -324,7 +337,16 @@
         }
 
     def _extra_operator_handlers(self) -> dict[str, internal_app.JsonHandler]:
-        return {"/operator/accounts": self._accounts.accounts}
+        handlers: dict[str, internal_app.JsonHandler]
+        handlers = {"/operator/accounts": self._accounts.accounts}
+        if self._shares is not None:
+            handlers["/operator/shares"] = self._shares.status
+        return handlers
+
+    def _account_metrics(self) -> Iterator[core.Metric]:
+        yield from self._accounts.metrics()
+        if self._shares is not None:
+            yield from self._shares.metrics()
 
     def _is_ready(self) -> bool:
         """Whether callers may send requests to this node."""
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -89,6 +89,7 @@
         quota_slack: Requests beyond a client account's quota that are
             tolerated per window, of all nodes together.
         load_reports: Whether the load that the backend server reports is used.
+        fair_shares: Whether client accounts share a scarce service fairly.
     """
 
     adapter: str
@@ -103,6 +104,7 @@
     retry_slack: float = pydantic.Field(default=40.0, ge=0)
     quota_slack: float = pydantic.Field(default=0.0, ge=0)
     load_reports: pydantic.StrictBool = True
+    fair_shares: pydantic.StrictBool = True
 
 
 class NodeSettings(_Model):
--- a/packages/burdockfront/src/burdockfront/load_reports.py
+++ b/packages/burdockfront/src/burdockfront/load_reports.py
@@ -78,8 +78,9 @@
     """The latest load report of the incarnation in service.
 
     Attributes:
-        is_reported: The incarnation in service has reported its load or that
-            it is warming up.
+        is_reported: The incarnation in service reports its load with the
+            slowdown of its machine. Decisions that need to know how fast a
+            server is now are made only then.
         slowdown: Slowdown of the latest report, however old; 1.0 without one.
         ignored: Number of reports that were not used.
     """
@@ -141,7 +142,10 @@
         current = self._incarnation
         if incarnation is not current and not incarnation.may_be(current):
             return self._ignore(Problem.OTHER_INCARNATION)
-        if sent_s < self._sent_s:
+        if sent_s < self._sent_s - MAX_AGE_S:
+            # A shorter request may overtake a longer one, whose answer is
+            # nevertheless up to date. An answer this late may have been held
+            # up on its connection.
             return self._ignore(Problem.OUTDATED)
         if values[1:]:
             return self._ignore(Problem.DUPLICATE)
@@ -152,10 +156,11 @@
         self.slowdown = (
             1.0 if slowdown is None else float(slowdown) / _USUAL_SLOWDOWN
         )
+        if slowdown is not None:
+            self.is_reported = True
         self._found = found
-        self._sent_s = sent_s
+        self._sent_s = max(self._sent_s, sent_s)
         self._received_s = now_s
-        self.is_reported = True
         return None
 
     def _ignore(self, problem: Problem) -> Problem | None:
@@ -176,7 +181,6 @@
             self._warm_at_s = _NEVER_S
             return
         self._warm_at_s = now_s + warm_in_s
-        self.is_reported = True
 
     def latest(self, now_s: float) -> LoadReport | None:
         """Returns the latest report, or None if there is no recent one."""
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -99,6 +99,8 @@
             tag, with their demand relative to that share.
         bottleneck: Service that has the level of this answer; empty if unknown.
         service_levels: Levels of the services that are short.
+        over_share_age_s: Time since a guard computed `over_share`, if another
+            guard passes it on.
     """
 
     outcome: Outcome
@@ -122,6 +124,7 @@
     over_share: dict[str, float] | None = None
     bottleneck: str = ""
     service_levels: Sequence[service_levels_lib.ServiceLevel] = ()
+    over_share_age_s: float = 0.0
 
 
 _STATUS_OF_REASON = {
