State the form of load reports in the adapter's interface

The doc comment named a function that was removed when reports became decoded on demand.

Measured: test_load_reports.py and test_headers.py of the platform pass.

--- a/packages/burdockfront-node/src/burdockfront_node/adapters.py
+++ b/packages/burdockfront-node/src/burdockfront_node/adapters.py
@@ -143,9 +143,9 @@
     def load_of(self, answer: connection.RawAnswer) -> tuple[str, ...]:
         """Returns all values of the load report on an answer; () if none.
 
-        Their form is that of `load_reports.parse`. Called for each answer, and
-        the processor time of a node goes into answers, so a server that does
-        not report its load must cost nothing else.
+        Each has the form `RUNNING,WAITING,SLOTS[,SLOWDOWN]`. Called for each
+        answer, so a server that does not report its load must cost nothing
+        else.
         """
 
     def health_of(self, answer: connection.RawAnswer) -> Health | None:
