Use the new decisions only where backend servers report how fast they are

Cause: the choice by reported load, the estimate of the demand and fair shares were active in every deployment, also in those whose servers report nothing of their machines, and which are to be served as before.

--- a/packages/burdockfront-node/src/burdockfront_node/account_shares.py
+++ b/packages/burdockfront-node/src/burdockfront_node/account_shares.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
 
@@ -26,6 +27,7 @@
         resolver: The active route table, which has the accounts.
         tracker: Accounts above their share of the services called here.
         recorder: Records changes of the named accounts.
+        may_name: Whether this guard may name accounts. Defaults to always.
 
     Attributes:
         meter: Finds the accounts above their share at this guard.
@@ -37,8 +39,11 @@
         resolver: routes.RouteResolver,
         tracker: fair_shares.ShareTracker,
         recorder: timeline.Recorder,
+        may_name: Callable[[], bool] = lambda: True,
     ):
-        self.meter = fair_shares.ShareMeter(lambda: resolver.accounts.in_use)
+        self.meter = fair_shares.ShareMeter(
+            lambda: resolver.accounts.in_use and may_name()
+        )
         self.tracker = tracker
         self._resolver = resolver
         self._recorder = recorder
--- a/packages/burdockfront/src/burdockfront/admission.py
+++ b/packages/burdockfront/src/burdockfront/admission.py
@@ -260,6 +260,8 @@
         if self._demand.is_window_over(now_s):
             slots = self._limit.current(now_s)
             self._demand.advance(slots, self._backlog_s(slots), now_s)
+            if self.shares is not None:
+                self.shares.advance(self.level(), slots, now_s)
         return step
 
     def record_service_time(
@@ -294,6 +296,8 @@
         if context.limited_by == self.service:
             share = context.admitted_share
         self._demand.record_arrival(context.priority, work_s, share)
+        if self.shares is not None and self.shares.active:
+            self.shares.record(context, work_s)
 
     def _record_wait(self, delay_s: float) -> None:
         pass
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -145,6 +145,7 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
         self._candidates: dict[str, Candidates] = {}
+        self._has_paces = False
 
     def update(self, targets: Iterable[Target]) -> None:
         """Replaces the known guards by those in the current membership."""
@@ -270,6 +271,7 @@
         if state is not None:
             state.pace = pace
             state.pace_at_s = now_s
+            self._has_paces = True
 
     def record_limited(
         self, node_id: str, retry_after_s: float, now_s: float
@@ -419,6 +421,15 @@
         slots = max(1, target.slots)
         return max(state.load, state.in_flight / slots) + 1 / slots
 
+    @property
+    def has_paces(self) -> bool:
+        """Whether any guard has reported the pace of its backend server.
+
+        Only then are loads and speeds of guards known well enough to balance by
+        them, in place of the probability of an answer in time alone.
+        """
+        return self._has_paces
+
     def has_reported(self, node_id: str) -> bool:
         """Returns whether a guard has reported its load."""
         return self._states[node_id].load_at_s > _NEVER_S
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -149,10 +149,13 @@
         transfer_kb = self.estimates.kb_of(service, class_name)
         price = transfer_kb / _KB_PER_ANSWER
         if gain > max(_MIN_GAIN, price):
+            if not self.has_paces:
+                return other
             if self._fails_more(best, other, now_s):
                 return other
             return other if self._has_room(best, other, now_s) else best
-        if gain >= -_MIN_GAIN and self._gives_way(best, other, price, now_s):
+        gives_way = self.has_paces and gain >= -_MIN_GAIN
+        if gives_way and self._gives_way(best, other, price, now_s):
             return other
         loses_answers = gain < -_MAX_LOSS
         if not loses_answers and self._saves_transfer(
@@ -323,7 +326,11 @@
             return first
         if gain < -_MIN_GAIN:
             return second
-        return self._sooner(first, second, now_s)
+        if self.has_paces:
+            return self._sooner(first, second, now_s)
+        if self.score(first, now_s) <= self.score(second, now_s):
+            return first
+        return second
 
     def _sooner(
         self, first: guards.Target, second: guards.Target, now_s: float
