Fall back to plain load when reports have stopped

Once a guard had reported a load, near guards were compared by learned latency for good. When all reports stopped, own counts hardly weigh beside it: of four servers at 60% of their slots, with speeds of 0.8 to 1.2, the fastest got 4,005 calls and the slowest 424. Latency and pace now count only while the load of one of both guards still has weight, for a second.

Test: reports that stop for 2 s, 10 s and for good under load; it failed before with the counts above (for good: 424, 2764, 4005, 2667).

--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -1,9 +1,9 @@
 """The guards that a router knows, and which of them may get calls.
 
-Routing uses only numbers that the router or the guard has counted. Calls in
-flight are the router's own count. The load on an answer is counted by the guard
-and loses weight with age. Load reports of backend servers lag and can be wrong,
-so they are not used here.
+Routing uses numbers that the router or the guard has counted. Calls in flight
+are the router's own count. The load on an answer is counted by the guard and
+loses weight with age. Of what backend servers report, only the pace is used: as
+a hint, within bounds, and for less than a second.
 
 A guard that stops answering is ejected: after `_MAX_UNANSWERED` calls in a row
 without an answer, or when no connection can be made. An ejected guard gets one
@@ -414,6 +414,10 @@
         """Returns whether a guard has reported its load."""
         return self._states[node_id].load_at_s > _NEVER_S
 
+    def knows_load(self, node_id: str, now_s: float) -> bool:
+        """Returns whether the reported load of a guard still has weight."""
+        return now_s - self._states[node_id].load_at_s < _LOAD_DECAY_S
+
     def own_load(self, target: Target) -> float:
         """Returns this router's calls in flight per slot, and one more."""
         in_flight = self._states[target.node_id].in_flight
@@ -421,9 +425,8 @@
 
     def faded_load(self, node_id: str, now_s: float) -> float:
         """Returns the last reported load of a guard; 0 after a second."""
-        state = self._states[node_id]
-        is_old = now_s - state.load_at_s > _LOAD_DECAY_S
-        return 0.0 if is_old else state.load
+        known = self.knows_load(node_id, now_s)
+        return self._states[node_id].load if known else 0.0
 
     def is_idle(self, node_id: str) -> bool:
         """Returns whether this router has no call in flight at a guard."""
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -8,7 +8,10 @@
 server at once. The better candidate is the one that is more likely to answer in
 time; where both are about equally likely, the one with the lower load per slot,
 from the router's own calls in flight and the load that the guard reported on
-its last answer.
+its last answer, weighed by the learned latency and the pace of its server.
+
+A near guard that is full gives way to a far one with room (see
+`Router._gives_way`). What decides between data centres is at most 0.3 s old.
 """
 
 import math
@@ -332,15 +335,19 @@
 
         Where only one of both has ever reported its load, the other one has
         just joined and seems idle to all routers. It gets its usual share, by
-        the router's own calls, until its first answers.
+        the router's own calls, until its first answers. Where neither has a
+        report that still has weight, loads are compared as they are.
         """
-        first_reports = self.has_reported(first.node_id)
-        if first_reports != self.has_reported(second.node_id):
+        first_id = first.node_id
+        second_id = second.node_id
+        if self.has_reported(first_id) != self.has_reported(second_id):
             is_first = self.own_load(first) <= self.own_load(second)
             return first if is_first else second
         first_cost = self.score(first, now_s)
         second_cost = self.score(second, now_s)
-        if first_reports:
+        if self.knows_load(first_id, now_s) or self.knows_load(
+            second_id, now_s
+        ):
             first_cost = self._weighed(first, first_cost, now_s)
             second_cost = self._weighed(second, second_cost, now_s)
         return first if first_cost <= second_cost else second
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -390,3 +390,26 @@
     # It is in use again where the other one is full.
     router.record_answer("b", 4.0, False, 1.0)
     assert _share(router, "a", 1.0) > 0.5
+
+
+@pytest.mark.parametrize("until_s", [4.0, 12.0, 1e6])
+def test_calls_are_spread_by_own_counts_while_reports_are_missing(until_s):
+    # Failure: all reports stop for two seconds, ten, or for good, and routers
+    # go on choosing by the last ones, so that one server fills up.
+    servers = [
+        choice_model.a_server(f"d{number}", slots=20, speed=speed)
+        for number, speed in enumerate((0.8, 1.0, 1.2, 1.0))
+    ]
+    model = choice_model.Model(servers, {"dc1": 23}, lambda name, now_s: 960.0)
+
+    def set_reports(reports: bool) -> None:
+        for server in servers:
+            server.reports = reports
+
+    model.at(2.0, lambda now_s: set_reports(False))
+    model.at(until_s, lambda now_s: set_reports(True))
+    result = model.run(14.0)
+    with_reports_s = result.mean_latency_s(0.5, 2.0)
+    assert result.mean_latency_s(2.0, 14.0) < 1.3 * with_reports_s
+    counts = [result.count(f"d{number}", 3.1, until_s) for number in range(4)]
+    assert max(counts) < 2.0 * min(counts)
