--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -22,7 +22,8 @@
 _MIN_PROBE_INTERVAL_S = 0.5
 _MAX_PROBE_INTERVAL_S = 8.0
 _MIN_USABLE_SHARE = 0.5
-_LOAD_DECAY_S = 1.0
+# Age at which a reported load has lost its weight.
+LOAD_DECAY_S = 1.0
 _NEVER_S = -1e9
 # A load that decides about other data centres is at most this old: a few times
 # what a call takes.
@@ -145,6 +146,8 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
         self._candidates: dict[str, Candidates] = {}
+        # Guards that reported an unusual pace last.
+        self._paced: set[str] = set()
 
     def update(self, targets: Iterable[Target]) -> None:
         """Replaces the known guards by those in the current membership."""
@@ -154,6 +157,7 @@
             state = self._states.get(target.node_id)
             if state is None or state.boot_id != target.boot_id:
                 self._states[target.node_id] = _State(target.boot_id)
+                self._paced.discard(target.node_id)
                 self.forget(target.node_id)
         self._targets = by_service
         self._candidates.clear()
@@ -161,6 +165,7 @@
         for node_id in list(self._states):
             if node_id not in known:
                 del self._states[node_id]
+                self._paced.discard(node_id)
                 self.forget(node_id)
 
     def forget(self, node_id: str) -> None:
@@ -258,9 +263,14 @@
             now_s: The current time.
         """
         state = self._states.get(node_id)
-        if state is not None:
-            state.pace = pace
-            state.pace_at_s = now_s
+        if state is None:
+            return
+        state.pace = pace
+        state.pace_at_s = now_s
+        if pace > _MIN_PACE:
+            self._paced.add(node_id)
+        else:
+            self._paced.discard(node_id)
 
     def record_limited(
         self, node_id: str, retry_after_s: float, now_s: float
@@ -393,7 +403,7 @@
         """
         state = self._states[target.node_id]
         age_s = now_s - state.load_at_s
-        weight = max(0.0, 1.0 - age_s / _LOAD_DECAY_S)
+        weight = max(0.0, 1.0 - age_s / LOAD_DECAY_S)
         slots = max(1, target.slots)
         return (state.in_flight + 1) / slots + weight * state.load
 
@@ -410,13 +420,10 @@
         slots = max(1, target.slots)
         return max(state.load, state.in_flight / slots) + 1 / slots
 
-    def has_reported(self, node_id: str) -> bool:
-        """Returns whether a guard has reported its load."""
-        return self._states[node_id].load_at_s > _NEVER_S
-
-    def knows_load(self, node_id: str, now_s: float) -> bool:
-        """Returns whether the reported load of a guard still has weight."""
-        return now_s - self._states[node_id].load_at_s < _LOAD_DECAY_S
+    def load_at_s(self, node_id: str) -> float | None:
+        """Returns when a guard last reported its load; None if never."""
+        at_s = self._states[node_id].load_at_s
+        return at_s if at_s > _NEVER_S else None
 
     def own_load(self, target: Target) -> float:
         """Returns this router's calls in flight per slot, and one more."""
@@ -425,8 +432,9 @@
 
     def faded_load(self, node_id: str, now_s: float) -> float:
         """Returns the last reported load of a guard; 0 after a second."""
-        known = self.knows_load(node_id, now_s)
-        return self._states[node_id].load if known else 0.0
+        state = self._states[node_id]
+        is_old = now_s - state.load_at_s > LOAD_DECAY_S
+        return 0.0 if is_old else state.load
 
     def is_idle(self, node_id: str) -> bool:
         """Returns whether this router has no call in flight at a guard."""
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -142,13 +142,19 @@
         if not candidates.near:
             return self._better_of_two(
                 candidates.far, typical_s, limit_s, now_s
-            )
-        best = self._better_of_two(candidates.near, typical_s, limit_s, now_s)
+            )[0]
+        best, probability = self._better_of_two(
+            candidates.near, typical_s, limit_s, now_s
+        )
         if not candidates.far:
             return best
         other = self._faster_of_two(candidates.far, typical_s, now_s)
         gain = self._success_probability(other, typical_s, limit_s, now_s)
-        gain -= self._success_probability(best, typical_s, limit_s, now_s)
+        if probability is None:
+            probability = self._success_probability(
+                best, typical_s, limit_s, now_s
+            )
+        gain -= probability
         transfer_kb = self.estimates.kb_of(service, class_name)
         price = transfer_kb / _KB_PER_ANSWER
         if gain > max(_MIN_GAIN, price):
@@ -276,12 +282,10 @@
     ) -> float:
         """Returns the expected time to an answer of a guard."""
         waiting = max(0.0, self.score(target, now_s) - _FULL_LOAD)
-        return (
-            typical_s
-            * self.estimates.relative_latency(target.node_id)
-            * self.pace(target.node_id, now_s)
-            * (1.0 + waiting)
-        )
+        latency = self.estimates.relative_latency(target.node_id)
+        if target.node_id in self._paced:
+            latency *= self.pace(target.node_id, now_s)
+        return typical_s * latency * (1.0 + waiting)
 
     def _faster_of_two(
         self, targets: list[guards.Target], typical_s: float, now_s: float
@@ -311,46 +315,52 @@
         typical_s: float,
         limit_s: float,
         now_s: float,
-    ) -> guards.Target:
+    ) -> tuple[guards.Target, float | None]:
         """Draws two guards, and returns the better one.
 
         That is the one more likely to answer in time; where the difference is
-        small, the one with the lower load per slot.
+        small, the one with the lower load per slot, weighed by its speed.
+
+        Returns:
+            The guard, and its probability of an answer in time; None if there
+            is only one guard.
         """
         first, second = self._draw_two(targets)
         if second is first:
-            return first
-        gain = self._success_probability(first, typical_s, limit_s, now_s)
-        gain -= self._success_probability(second, typical_s, limit_s, now_s)
+            return first, None
+        one = self._success_probability(first, typical_s, limit_s, now_s)
+        other = self._success_probability(second, typical_s, limit_s, now_s)
+        gain = one - other
         if gain > _MIN_GAIN:
-            return first
+            return first, one
         if gain < -_MIN_GAIN:
-            return second
-        return self._sooner(first, second, now_s)
+            return second, other
+        if self._is_sooner(first, second, now_s):
+            return first, one
+        return second, other
 
-    def _sooner(
+    def _is_sooner(
         self, first: guards.Target, second: guards.Target, now_s: float
-    ) -> guards.Target:
-        """Returns the guard that has the lower load, weighed by its speed.
+    ) -> bool:
+        """Returns whether the first guard has the lower load for its speed.
 
         Where only one of both has ever reported its load, the other one has
         just joined and seems idle to all routers. It gets its usual share, by
         the router's own calls, until its first answers. Where neither has a
         report that still has weight, loads are compared as they are.
         """
-        first_id = first.node_id
-        second_id = second.node_id
-        if self.has_reported(first_id) != self.has_reported(second_id):
-            is_first = self.own_load(first) <= self.own_load(second)
-            return first if is_first else second
+        first_at_s = self.load_at_s(first.node_id)
+        second_at_s = self.load_at_s(second.node_id)
+        if (first_at_s is None) != (second_at_s is None):
+            return self.own_load(first) <= self.own_load(second)
         first_cost = self.score(first, now_s)
         second_cost = self.score(second, now_s)
-        if self.knows_load(first_id, now_s) or self.knows_load(
-            second_id, now_s
-        ):
-            first_cost = self._weighed(first, first_cost, now_s)
-            second_cost = self._weighed(second, second_cost, now_s)
-        return first if first_cost <= second_cost else second
+        if first_at_s is not None and second_at_s is not None:
+            age_s = now_s - max(first_at_s, second_at_s)
+            if age_s < guards.LOAD_DECAY_S:
+                first_cost = self._weighed(first, first_cost, now_s)
+                second_cost = self._weighed(second, second_cost, now_s)
+        return first_cost <= second_cost
 
     def _weighed(
         self, target: guards.Target, load: float, now_s: float
@@ -358,4 +368,6 @@
         """Returns a load in relative time to an answer."""
         node_id = target.node_id
         latency = self.estimates.relative_latency(node_id)
-        return (1.0 + load) * latency * self.pace(node_id, now_s)
+        if node_id in self._paced:
+            latency *= self.pace(node_id, now_s)
+        return (1.0 + load) * latency
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -374,7 +374,7 @@
     )
     assert router.estimates.relative_latency("a") == 1.0
     assert router.estimates.relative_latency("b") < 1.0
-    assert not router.has_reported("a")
+    assert router.load_at_s("a") is None
     assert 0.3 < _share(router, "a", 1.0, limit_s=2.0) < 0.7
 
 
