Refuse new work above the level of its path before a call is built

A refusal passed the whole filter chain, built a context and a call, and wrote two events. Under a demand of twice the capacity, half of the requests paid for that.

The route filter refuses such work once route, account and quota are known; quota is given back. Calls of backend servers, requests without remaining time and services without guards are left to the dispatcher, whose check stays for other ways in. Events are sampled (at most four per second and class, with the number of refusals that they stand for), and burdockfront-ctl losses and the latency histogram count them by that number. Refusals are counted by class and reason on the metrics port.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -26,6 +26,7 @@
 from burdockfront_client import peers
 from burdockfront_node import availability
 from burdockfront_node import backend
+from burdockfront_node import entry_refusals
 from burdockfront_node import guard as guard_lib
 from burdockfront_node import lineage as lineage_lib
 from burdockfront_node.filters import base
@@ -237,6 +238,7 @@
             "",
             frozenset(),
             NoQuotas(),
+            entry_refusals.EntryRefusals(recorder),
         )
         tools = base.Tools(
             self.dispatcher,
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -307,15 +307,15 @@
     def _exceeds_path_level(self, call: calls.Call, now_s: float) -> bool:
         """Whether the priority of a new request exceeds its path's level.
 
-        A deeper service would refuse such a request.
+        Routed nodes refuse most of these before they build a call. This check
+        covers the other ways in, and levels that arrived in the meantime.
         """
         context = call.context
         if context.depth > 0:
             return False
-        level = self.level_tracker.level_of(
-            call.service, context.class_name, now_s
+        return self.level_tracker.refuses(
+            call.service, context.class_name, context.priority, now_s
         )
-        return context.priority > level + levels.ENTRY_SLACK
 
     def _no_target(
         self, call: calls.Call, progress: retry_decisions.Progress
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/losses.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/losses.py
@@ -91,10 +91,12 @@
             # A call by a backend server; only the request that caused it
             # is counted.
             continue
-        found.asked[event["class_name"]] += 1
+        # A sampled event stands for several requests refused alike.
+        count = event.get("count", 1)
+        found.asked[event["class_name"]] += count
         if not _is_success(event):
             cause = causes.get(request_id) or _cause_at_entry(event)
-            found.lost[(event["class_name"], cause)] += 1
+            found.lost[(event["class_name"], cause)] += count
     return found
 
 
--- a/packages/burdockfront-ctl/src/burdockfront_ctl/queries.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/queries.py
@@ -204,7 +204,9 @@
     if not found:
         raise errors.InvalidInputError(
             f"no node has events of request {request!r}; events are kept in "
-            f"memory only for a limited time ('events' in the node's settings)."
+            f"memory only for a limited time ('events' in the node's "
+            f"settings), and requests that an entry refuses for overload are "
+            f"sampled ('timeline kind entry.answered')."
         )
     view = render.of_events(f"request {request}", found)
     view.remarks.append(_describe_outcome(found))
@@ -230,6 +232,12 @@
     text = f"It ended '{outcome}'"
     if reason:
         text += f" ({reason}): {_REASONS.get(reason, reason)}"
+    count = ended[-1].detail.get("count", 1)
+    if count > 1:
+        text += (
+            f". This event is a sample: it stands for {count} requests of its "
+            f"class that this entry refused alike within a quarter of a second"
+        )
     if refused:
         last = refused[-1]
         detail = last.detail
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/latencies.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/latencies.py
@@ -38,7 +38,9 @@
         """Records the latency if the event ends a request."""
         detail = event.detail
         if event.kind == "entry.answered":
-            self.entry_s.observe(detail["outcome"], detail["elapsed_s"])
+            # Only a sampled event stands for more than one request.
+            count = detail.get("count", 1)
+            self.entry_s.observe(detail["outcome"], detail["elapsed_s"], count)
         elif event.kind == "call.answered":
             self.backend_s.observe(detail["outcome"], detail["service_s"])
 
@@ -61,14 +63,14 @@
         self._counts: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
 
-    def observe(self, outcome: str, elapsed_s: float) -> None:
-        """Adds an observed duration."""
+    def observe(self, outcome: str, elapsed_s: float, count: int = 1) -> None:
+        """Adds a duration that was observed a number of times."""
         counts = self._counts.get(outcome)
         if counts is None:
             counts = self._counts[outcome] = [0] * len(_NAMES)
             self._sums_s[outcome] = 0.0
-        counts[bisect.bisect_left(_BOUNDS_S, elapsed_s)] += 1
-        self._sums_s[outcome] += elapsed_s
+        counts[bisect.bisect_left(_BOUNDS_S, elapsed_s)] += count
+        self._sums_s[outcome] += count * elapsed_s
 
     def collect(self) -> Iterator[core.Metric]:
         """Yields the histogram as a type of the metrics library."""
--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -17,6 +17,7 @@
 from burdockfront_client import attempts
 from burdockfront_client import calls
 from burdockfront_client import dispatcher
+from burdockfront_node import entry_refusals
 from burdockfront_node.internal import messages
 
 FILTERS = registry.Registry("filter")
@@ -142,6 +143,9 @@
         reserved_with_accounts: Further reserved headers, where callers need an
             API key.
         quotas: Quotas of client accounts.
+        refusals: Counts and samples of requests refused for overload.
+        early_refusals: Whether new work above the level of its path is refused
+            before a call is built.
     """
 
     resolver: routes.RouteResolver
@@ -152,6 +156,8 @@
     key_header: str
     reserved_with_accounts: frozenset[str]
     quotas: Quotas
+    refusals: entry_refusals.EntryRefusals
+    early_refusals: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -9,6 +9,7 @@
 import time
 
 from burdockfront import outcomes
+from burdockfront_node import entry_refusals
 from burdockfront_node.filters import account as account_lib
 from burdockfront_node.filters import base
 from burdockfront_node.filters import terms as terms_lib
@@ -36,7 +37,8 @@
         )
         self._resolver = tools.routed.resolver
         self._accounts = account_lib.AccountGate(tools.routed)
-        self._terms = terms_lib.Terms(tools.routed)
+        self._terms = terms_lib.Terms(tools.routed, tools.dispatcher)
+        self._refusals = tools.routed.refusals
         self._recorder = tools.recorder
 
     async def __call__(
@@ -62,7 +64,21 @@
             if refusal is not None:
                 self._record_rejection(entry, refusal)
                 return refusal
-        self._terms.set(entry)
+        refusal = self._terms.set(entry)
+        if refusal is not None:
+            self._accounts.give_back(entry)
+            refusal.retry_after_s = self._retry_after_s(entry, refusal)
+            self._refusals.record(
+                entry_refusals.Refusal(
+                    entry.caller_request_id,
+                    entry.route_match.route.name,
+                    entry.service,
+                    refusal,
+                    entry.routes_version,
+                    entry.request.arrived_s,
+                )
+            )
+            return refusal
         answer = await following(entry)
         if answer.outcome is not outcomes.Outcome.DONE:
             answer = self._finish_unserved(entry, answer)
@@ -76,9 +92,18 @@
             self._accounts.give_back(entry)
         if answer.reason not in _OVERLOAD_REASONS:
             return answer
-        retry_after_s = self._terms.retry_after_s(entry)
+        retry_after_s = self._retry_after_s(entry, answer)
         return dataclasses.replace(answer, retry_after_s=retry_after_s)
 
+    def _retry_after_s(
+        self, entry: base.Entry, refusal: outcomes.Answer
+    ) -> float:
+        """Counts a refusal for overload, and returns its retry-after time."""
+        assert entry.route_match is not None and refusal.reason is not None
+        class_name = entry.route_match.route.name
+        self._refusals.counts[(class_name, refusal.reason)] += 1
+        return self._terms.retry_after_s(entry)
+
     def _record_rejection(
         self, entry: base.Entry, refusal: outcomes.Answer
     ) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -10,8 +10,11 @@
 
 from burdockfront import allowance
 from burdockfront import context as context_lib
+from burdockfront import outcomes
 from burdockfront import routes
 from burdockfront_client import calls
+from burdockfront_client import dispatcher as dispatcher_lib
+from burdockfront_client import retry_decisions
 from burdockfront_client import wire
 from burdockfront_node.filters import base
 from burdockfront_node.filters import identify
@@ -34,9 +37,15 @@
 
     Args:
         routed: Components for the filters of a routed node.
+        dispatcher: Knows the levels of paths, and counts early refusals.
     """
 
-    def __init__(self, routed: base.RoutedTools):
+    def __init__(
+        self, routed: base.RoutedTools, dispatcher: dispatcher_lib.Dispatcher
+    ):
+        self._early_refusals = routed.early_refusals
+        self._dispatcher = dispatcher
+        self._level_tracker = dispatcher.level_tracker
         self._resolver = routed.resolver
         self._reserved = routed.reserved
         self._reserved_with_accounts = (
@@ -60,8 +69,13 @@
             _MAX_RETRY_AFTER_S, share * entry.route_match.route.target_latency_s
         )
 
-    def set(self, entry: base.Entry) -> None:
-        """Sets the terms of a request from its route and its account."""
+    def set(self, entry: base.Entry) -> outcomes.Answer | None:
+        """Sets the terms of a request from its route and its account.
+
+        Returns:
+            The refusal of new work above the level of its path, for which no
+            call is built; None if the request is to be dispatched.
+        """
         match = entry.route_match
         assert match is not None, "the route is found first"
         route = match.route
@@ -80,12 +94,17 @@
         entry.target = request.target
         remaining_s = deadline_s - time.monotonic()
         if parent is None:
+            rank = self._resolver.accounts.rank_of(account, route.rank)
+            ordinal = identify.ordinal_of(entry.caller_request_id)
+            priority = rank * context_lib.ORDINALS + ordinal
+            if new_work and self._refuses(entry, priority, remaining_s):
+                return outcomes.not_run(outcomes.Reason.OVERLOAD_DEEPER)
             entry.context = context_lib.RequestContext(
                 request_id=entry.caller_request_id,
                 attempt_id=entry.caller_request_id,
                 class_name=route.name,
-                rank=self._resolver.accounts.rank_of(account, route.rank),
-                ordinal=identify.ordinal_of(entry.caller_request_id),
+                rank=rank,
+                ordinal=ordinal,
                 depth=0 if new_work else 1,
                 remaining_s=remaining_s,
                 allowance=units,
@@ -121,6 +140,34 @@
             parent_class=parent.class_name if parent is not None else "",
             account=account.name if account is not None else "",
         )
+        return None
+
+    def _refuses(
+        self, entry: base.Entry, priority: int, remaining_s: float
+    ) -> bool:
+        """Whether new work is refused now, as the dispatcher would refuse it.
+
+        Requests without remaining time, and those of services without guards,
+        are left to the dispatcher, whose reason for these is another one.
+        """
+        if not self._early_refusals:
+            return False
+        assert entry.route_match is not None, "the route is found first"
+        dispatcher = self._dispatcher
+        refused = (
+            self._level_tracker.refuses(
+                entry.service,
+                entry.route_match.route.name,
+                priority,
+                time.monotonic(),
+            )
+            and remaining_s > retry_decisions.MIN_REMAINING_S
+            and bool(dispatcher.router.targets_of(entry.service))
+        )
+        if refused:
+            dispatcher.counters.calls += 1
+            dispatcher.counters.early_refusals += 1
+        return refused
 
     def _forwarded_headers(
         self, headers: tuple[tuple[str, str], ...]
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -11,6 +11,9 @@
 import random
 import secrets
 import time
+from collections.abc import Iterator
+
+from prometheus_client import core
 
 from burdockfront import freshness
 from burdockfront import incarnations as incarnations_lib
@@ -21,6 +24,7 @@
 from burdockfront_node import availability
 from burdockfront_node import daemon as daemon_lib
 from burdockfront_node import daemon_components
+from burdockfront_node import entry_refusals as entry_refusals_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import internal_app
 from burdockfront_node import lineage as lineage_lib
@@ -125,6 +129,7 @@
             self._rng,
             self._ready,
         )
+        self._refusals = entry_refusals_lib.EntryRefusals(self._recorder)
         self._accounts = account_status_lib.AccountStatus(
             self._resolver, self._quotas
         )
@@ -242,6 +247,8 @@
             self._adapter.dialect.key_header,
             self._adapter.dialect.reserved_with_accounts,
             self._quotas,
+            self._refusals,
+            self._routed.early_refusals,
         )
         return base.Tools(
             self._dispatcher,
@@ -283,7 +290,7 @@
             )
         )
         exposition = exposition_lib.Exposition(
-            self._metrics, self._latencies, self._log, self._accounts.metrics
+            self._metrics, self._latencies, self._log, self._more_metrics
         )
         return [
             http_port.Port(
@@ -301,6 +308,10 @@
             servers.Listener(exposition.app, self._routed.metrics_address),
         ]
 
+    def _more_metrics(self) -> Iterator[core.Metric]:
+        yield from self._accounts.metrics()
+        yield from self._refusals.metrics()
+
     def _extra_peer_handlers(self) -> dict[str, internal_app.JsonHandler]:
         async def routes(message: dict[str, object]) -> dict[str, object]:
             return self._route_watch.on_peer(message)
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -88,6 +88,8 @@
         retry_slack: Additional retries per window, of all nodes together.
         quota_slack: Requests beyond a client account's quota that are
             tolerated per window, of all nodes together.
+        early_refusals: Whether new work above the level of its path is refused
+            before a call is built. Otherwise the dispatcher refuses it.
     """
 
     adapter: str
@@ -101,6 +103,7 @@
     stop_s: float = pydantic.Field(default=6.0, gt=0, le=600)
     retry_slack: float = pydantic.Field(default=40.0, ge=0)
     quota_slack: float = pydantic.Field(default=0.0, ge=0)
+    early_refusals: bool = True
 
 
 class NodeSettings(_Model):
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -229,6 +229,16 @@
             return int(received.level)
         return min(OPEN, int(received.level + relaxed_s * _RELAX_PER_S))
 
+    def refuses(
+        self, service: str, class_name: str, priority: int, now_s: float
+    ) -> bool:
+        """Whether new work of a priority is above the level of its path.
+
+        A deeper service would refuse such a request.
+        """
+        level = self.level_of(service, class_name, now_s)
+        return priority > level + ENTRY_SLACK
+
     def record_call(
         self,
         class_name: str,
--- a/tests/route_chain.py
+++ b/tests/route_chain.py
@@ -10,6 +10,7 @@
 from burdockfront import timeline
 from burdockfront_bench.site_model import nodes
 from burdockfront_client import attempts
+from burdockfront_node import entry_refusals
 from burdockfront_node.filters import base
 from burdockfront_node.filters import route as route_lib
 from burdockfront_node.internal import messages
@@ -26,6 +27,8 @@
         new_work: Whether requests count as requests of callers.
         parent: The request on whose behalf each request is made.
         quotas: Quotas of the accounts.
+        early_refusals: Whether the filter refuses new work above the level of
+            its path.
     """
 
     def __init__(
@@ -34,11 +37,14 @@
         new_work: bool = True,
         parent: context_lib.RequestContext | None = None,
         quotas: base.Quotas | None = None,
+        early_refusals: bool = True,
     ):
         resolver = routes.RouteResolver(random.Random(1))
         if table is not None:
             resolver.accept(table)
         self.recorder = timeline.Recorder("n1", "dc1", 10)
+        self.refusals = entry_refusals.EntryRefusals(self.recorder)
+        self.dispatcher = builders.a_dispatcher(self.recorder)
         routed = base.RoutedTools(
             resolver,
             frozenset(["deadline"]),
@@ -48,9 +54,11 @@
             "x-api-key",
             frozenset(["x-api-key", "tenant"]),
             quotas or nodes.NoQuotas(),
+            self.refusals,
+            early_refusals,
         )
         tools = base.Tools(
-            builders.a_dispatcher(self.recorder),
+            self.dispatcher,
             attempts.AttemptTracker(),
             policy.default,
             self.recorder,
