Let early refusals earn retries as those of the dispatcher do

Requests that the route filter refused no longer counted as first tries, so calls of their service had fewer retries.

--- a/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
+++ b/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
@@ -97,6 +97,8 @@
         self._policy_of = policy_of
         self.counters = counters
         self._retry_burst = retry_burst
+        # Early refusals since the last call, by service.
+        self._early_refusals: dict[str, int] = {}
         self._ratios: dict[str, allowance_lib.RetryRatio] = {}
 
     @property
@@ -115,8 +117,20 @@
     def first_try(self, call: calls.Call) -> None:
         """Counts the first attempt of a call."""
         ratio = self._ratio(call.service)
+        refused = self._early_refusals.pop(call.service, 0)
+        if refused:
+            ratio.first_try(time.monotonic(), count=refused)
         ratio.first_try(time.monotonic(), call.context.repeated)
 
+    def count_early_refusal(self, service: str) -> None:
+        """Counts the first try of a call that was refused unbuilt.
+
+        It is added to the ratio with the next call of the service, as that
+        costs a refusal a single function call.
+        """
+        refused = self._early_refusals.get(service, 0)
+        self._early_refusals[service] = refused + 1
+
     def decide(
         self, call: calls.Call, result: calls.AttemptResult, progress: Progress
     ) -> outcomes.Answer | None:
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -165,8 +165,7 @@
             and bool(dispatcher.router.targets_of(entry.service))
         )
         if refused:
-            dispatcher.counters.calls += 1
-            dispatcher.counters.early_refusals += 1
+            dispatcher.count_early_refusal(entry.service)
         return refused
 
     def _forwarded_headers(
--- a/packages/burdockfront/src/burdockfront/allowance.py
+++ b/packages/burdockfront/src/burdockfront/allowance.py
@@ -135,16 +135,19 @@
             self._tokens = min(self._tokens, burst)
         self._burst = burst
 
-    def first_try(self, now_s: float, repeated: bool = False) -> None:
+    def first_try(
+        self, now_s: float, repeated: bool = False, count: int = 1
+    ) -> None:
         """Counts a first try, which earns a fraction of a token.
 
         Args:
             now_s: The current time.
             repeated: Whether it is made for a request that is itself a repeat.
+            count: Number of first tries to count.
         """
         self._expire_tokens(now_s)
-        self._recent += 1.0
-        earned = self._ratio - 1.0 if repeated else self._ratio
+        self._recent += count
+        earned = (self._ratio - 1.0 if repeated else self._ratio) * count
         capacity = self._capacity()
         self._tokens = max(-_MAX_DEBT, min(capacity, self._tokens + earned))
         if self._tokens >= capacity:
