Tell refused requests when to return from the course of the level

Retry-After was a random 0.3 to 0.6 of the target latency whatever happened, so callers returned while nothing could be free for them.

return_times.py extrapolates the level of the path and estimates the share of the rank that it will admit (a returning request has a new id, so its ordinal is drawn anew). A return within the target latency is preferred unless a late one, within the third of the remaining time that callers honour, has more than three times the chance, or the early one has none. Where the fastest rise cannot admit the rank before the deadline, the time is beyond the deadline. Times are spread over a range. routed.retry_after: target restores the former times.

--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -146,6 +146,8 @@
         refusals: Counts and samples of requests refused for overload.
         early_refusals: Whether new work above the level of its path is refused
             before a call is built.
+        forecasts_levels: Whether retry-after times follow from the course of
+            levels.
     """
 
     resolver: routes.RouteResolver
@@ -158,6 +160,7 @@
     quotas: Quotas
     refusals: entry_refusals.EntryRefusals
     early_refusals: bool = True
+    forecasts_levels: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -11,6 +11,7 @@
 from burdockfront import allowance
 from burdockfront import context as context_lib
 from burdockfront import outcomes
+from burdockfront import return_times
 from burdockfront import routes
 from burdockfront_client import calls
 from burdockfront_client import dispatcher as dispatcher_lib
@@ -26,8 +27,8 @@
 # answer margin. When each layer subtracted that margin again, requests of four
 # layers lost half of a time limit of 0.8 s, and one in fifteen failed for it.
 _CALL_MARGIN_S = 0.002
-# Range of the retry-after time, as shares of the route's target latency. An
-# answer within the target latency has its full value.
+# Range of the retry-after time where it is not forecast, as shares of the
+# route's target latency. An answer within that has its full value.
 _RETRY_AFTER_SHARES = (0.3, 0.6)
 _MAX_RETRY_AFTER_S = 2.0
 
@@ -53,20 +54,34 @@
         )
         self._origin_service = routed.origin_service
         self._rng = random.Random(secrets.randbits(64))
+        self._forecasts_levels = routed.forecasts_levels
+        self._return_times = return_times.ReturnTimes(
+            self._level_tracker, self._rng
+        )
         self._is_new_work = routed.is_new_work
         self._parent_of = routed.parent_of
 
     def retry_after_s(self, entry: base.Entry) -> float:
         """Returns the retry-after time of a request refused for overload.
 
-        It is short enough that the answer to a retry still has its full value.
-        Load changes within tenths of a second, so a longer time would not help.
         It is random, because many requests are refused at the same moment.
         """
         assert entry.route_match is not None, "the terms are set first"
-        share = self._rng.uniform(*_RETRY_AFTER_SHARES)
-        return min(
-            _MAX_RETRY_AFTER_S, share * entry.route_match.route.target_latency_s
+        route = entry.route_match.route
+        if not self._forecasts_levels:
+            share = self._rng.uniform(*_RETRY_AFTER_SHARES)
+            return min(_MAX_RETRY_AFTER_S, share * route.target_latency_s)
+        now_s = time.monotonic()
+        remaining_s = route.timeout_s
+        if entry.caller_timeout_s is not None:
+            remaining_s = min(remaining_s, entry.caller_timeout_s)
+        return self._return_times.retry_after_s(
+            entry.service,
+            route.name,
+            self._resolver.accounts.rank_of(entry.account, route.rank),
+            route.target_latency_s,
+            remaining_s - (now_s - entry.request.arrived_s),
+            now_s,
         )
 
     def set(self, entry: base.Entry) -> outcomes.Answer | None:
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -249,6 +249,7 @@
             self._quotas,
             self._refusals,
             self._routed.early_refusals,
+            self._routed.retry_after == "forecast",
         )
         return base.Tools(
             self._dispatcher,
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -4,6 +4,7 @@
 import pathlib
 from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import pydantic
 import yaml
@@ -90,6 +91,9 @@
             tolerated per window, of all nodes together.
         early_refusals: Whether new work above the level of its path is refused
             before a call is built. Otherwise the dispatcher refuses it.
+        retry_after: How retry-after times of overload refusals are set: from
+            the course of the path's level, or as a share of the target latency
+            of the route alone.
     """
 
     adapter: str
@@ -104,6 +108,7 @@
     retry_slack: float = pydantic.Field(default=40.0, ge=0)
     quota_slack: float = pydantic.Field(default=0.0, ge=0)
     early_refusals: bool = True
+    retry_after: Literal["forecast", "target"] = "forecast"
 
 
 class NodeSettings(_Model):
