Forecast return times of new work only, and count only its refusals

A refused call of a backend server was told to return when the level of its path should admit it. The server holds a slot while it waits, so calls keep the former, shorter times. The counter of refusals by class and reason is of callers' requests and no longer includes such calls. Tests cover the refusals of guards, calls, and both settings.

--- a/packages/burdockfront-node/src/burdockfront_node/filters/route.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/route.py
@@ -101,7 +101,9 @@
         """Counts a refusal for overload, and returns its retry-after time."""
         assert entry.route_match is not None and refusal.reason is not None
         class_name = entry.route_match.route.name
-        self._refusals.counts[(class_name, refusal.reason)] += 1
+        context = entry.context
+        if context is None or context.depth == 0:
+            self._refusals.counts[(class_name, refusal.reason)] += 1
         return self._terms.retry_after_s(entry)
 
     def _record_rejection(
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -65,10 +65,14 @@
         """Returns the retry-after time of a request refused for overload.
 
         It is random, because many requests are refused at the same moment.
+        The course of the level applies to new work only: a backend server that
+        repeats a call holds a slot meanwhile, so it is not told to wait longer.
         """
         assert entry.route_match is not None, "the terms are set first"
         route = entry.route_match.route
-        if not self._forecasts_levels:
+        context = entry.context
+        is_call = context is not None and context.depth > 0
+        if is_call or not self._forecasts_levels:
             share = self._rng.uniform(*_RETRY_AFTER_SHARES)
             return min(_MAX_RETRY_AFTER_S, share * route.target_latency_s)
         now_s = time.monotonic()
--- a/tests/route_chain.py
+++ b/tests/route_chain.py
@@ -29,6 +29,8 @@
         quotas: Quotas of the accounts.
         early_refusals: Whether the filter refuses new work above the level of
             its path.
+        forecasts_levels: Whether retry-after times follow from the course of
+            levels.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         parent: context_lib.RequestContext | None = None,
         quotas: base.Quotas | None = None,
         early_refusals: bool = True,
+        forecasts_levels: bool = True,
     ):
         resolver = routes.RouteResolver(random.Random(1))
         if table is not None:
@@ -56,6 +59,7 @@
             quotas or nodes.NoQuotas(),
             self.refusals,
             early_refusals,
+            forecasts_levels,
         )
         tools = base.Tools(
             self.dispatcher,
--- a/tests/unit/test_early_refusals.py
+++ b/tests/unit/test_early_refusals.py
@@ -147,6 +147,37 @@
     assert sample.value == 3
 
 
+def test_refused_call_of_a_backend_server_is_neither_counted_nor_delayed():
+    # The server holds a slot while it waits to repeat the call. The counter
+    # is of requests of callers, which a call is not.
+    chain = _chain(new_work=False)
+    refusal = outcomes.not_run(outcomes.Reason.OVERLOAD)
+    answer = chain.run(route_chain.an_entry(), refusal)
+    assert 0.3 <= answer.retry_after_s <= 0.6
+    assert not chain.refusals.counts
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [
+        outcomes.Reason.OVERLOAD,
+        outcomes.Reason.SHED,
+        outcomes.Reason.LIMITED,
+        outcomes.Reason.OVERLOAD_DEEPER,
+    ],
+)
+def test_refusal_of_a_guard_follows_the_course_of_the_level(reason):
+    # Below the level of its rank, an early return would be refused again. The
+    # late range of 5 s remaining time begins at 1 s.
+    chain = _chain(level=_RANK * 256 - 200, early_refusals=False)
+    refusal = outcomes.not_run(reason)
+    answer = chain.run(route_chain.an_entry(), refusal)
+    assert 0.9 <= answer.retry_after_s <= 5.0 / 3
+    former = _chain(level=_RANK * 256 - 200, forecasts_levels=False)
+    answer = former.run(route_chain.an_entry(), refusal)
+    assert 0.3 <= answer.retry_after_s <= 0.6
+
+
 def _refusal(number: int) -> entry_refusals.Refusal:
     return entry_refusals.Refusal(
         f"r{number}",
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -39,6 +39,24 @@
         settings.parse(_document(**changes), "node.yaml")
 
 
+def test_entry_behaviours_are_on_by_default_and_checked():
+    routed = {
+        "adapter": "burdockfront_platform",
+        "service": "fees",
+        **{
+            f"{name}_address": "127.0.0.1:1"
+            for name in ("backend", "heartbeat", "ready", "metrics", "store")
+        },
+    }
+    found = settings.parse(_document(routed=routed), "x").routed
+    assert found.early_refusals
+    assert found.retry_after == "forecast"
+    for wrong in ({"retry_after": "soon"}, {"early_refusals": "perhaps"}):
+        (name,) = wrong
+        with pytest.raises(errors.SettingsError, match=f"routed.{name}"):
+            settings.parse(_document(routed={**routed, **wrong}), "x")
+
+
 def test_missing_value_is_named():
     document = _document()
     del document["node_id"]
