--- a/tests/unit/test_early_refusals.py
+++ b/tests/unit/test_early_refusals.py
@@ -10,6 +10,7 @@
 from burdockfront import outcomes
 from burdockfront import timeline
 from burdockfront_ctl import losses
+from burdockfront_ctl import queries
 from burdockfront_node import entry_refusals
 from burdockfront_node.filters import identify
 from tests import builders
@@ -215,6 +216,22 @@
     assert found.lost == {(_CLASS, cause): 500}
 
 
+def test_why_says_that_an_event_stands_for_several_requests():
+    # An operator who looks at one refused request must learn that others of
+    # the same moment have no event.
+    event = timeline.Event(
+        1,
+        "n1",
+        "dc1",
+        "entry.answered",
+        "r1",
+        {"outcome": "not-run", "reason": "overload-deeper", "count": 37},
+    )
+    text = queries._describe_outcome([event])
+    assert "overload-deeper" in text
+    assert "stands for 37 requests" in text
+
+
 def test_entry_serves_again_without_news_and_after_a_restart():
     # When levels stop arriving, an old one must not outlast its cause. For
     # 2 s an urgent request passes that was refused; within 10 s all pass. A
--- a/tests/unit/test_site_model.py
+++ b/tests/unit/test_site_model.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from burdockfront_bench import virtual_time
 from burdockfront_bench.site_model import results
 from burdockfront_bench.site_model import sheet
 from burdockfront_bench.site_model import site
@@ -88,3 +89,17 @@
     assert _served(result, "confirm") > _served(result, "browse")
     listings = result.tallies["browse"]
     assert listings.refused > listings.failed, "refused before they run"
+
+
+def test_entries_refuse_before_any_work_while_callers_press():
+    """Pattern: two and a half times the demand on few slots at the bottom."""
+    troubles = (sheet.Trouble("burst", 1.0, 4.0, 2.5),)
+    model = site.Site(sheet.evening(), 1, troubles=troubles)
+    result = virtual_time.run(model.play(_LENGTH_S))
+    early = sum(
+        node.dispatcher.counters.early_refusals
+        for node in model._nodes.values()
+    )
+    refused = sum(tally.refused for tally in result.tallies.values())
+    assert early > refused / 2
+    assert _served(result, "confirm") > 0.98
