Spare relayed requests function calls where nothing is refused

The check of the level had added a function, a reading of the clock and two dictionary look-ups to each relayed request.

--- a/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
+++ b/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
@@ -117,9 +117,10 @@
     def first_try(self, call: calls.Call) -> None:
         """Counts the first attempt of a call."""
         ratio = self._ratio(call.service)
-        refused = self._early_refusals.pop(call.service, 0)
-        if refused:
-            ratio.first_try(time.monotonic(), count=refused)
+        if self._early_refusals:
+            refused = self._early_refusals.pop(call.service, 0)
+            if refused:
+                ratio.first_try(time.monotonic(), count=refused)
         ratio.first_try(time.monotonic(), call.context.repeated)
 
     def count_early_refusal(self, service: str) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/latencies.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/latencies.py
@@ -38,9 +38,12 @@
         """Records the latency if the event ends a request."""
         detail = event.detail
         if event.kind == "entry.answered":
-            # Only a sampled event stands for more than one request.
-            count = detail.get("count", 1)
-            self.entry_s.observe(detail["outcome"], detail["elapsed_s"], count)
+            outcome, elapsed_s = detail["outcome"], detail["elapsed_s"]
+            if "count" in detail:
+                # A sampled event stands for several requests.
+                self.entry_s.observe(outcome, elapsed_s, detail["count"])
+            else:
+                self.entry_s.observe(outcome, elapsed_s)
         elif event.kind == "call.answered":
             self.backend_s.observe(detail["outcome"], detail["service_s"])
 
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -111,13 +111,22 @@
         request = entry.request
         entry.service = match.service
         entry.target = request.target
-        remaining_s = deadline_s - time.monotonic()
+        now_s = time.monotonic()
+        remaining_s = deadline_s - now_s
         if parent is None:
             rank = self._resolver.accounts.rank_of(account, route.rank)
             ordinal = identify.ordinal_of(entry.caller_request_id)
             priority = rank * context_lib.ORDINALS + ordinal
-            if new_work and self._refuses(entry, priority, remaining_s):
-                return outcomes.not_run(outcomes.Reason.OVERLOAD_DEEPER)
+            if (
+                new_work
+                and self._early_refusals
+                and self._level_tracker.refuses(
+                    match.service, route.name, priority, now_s
+                )
+            ):
+                refusal = self._refuse(entry, remaining_s)
+                if refusal is not None:
+                    return refusal
             entry.context = context_lib.RequestContext(
                 request_id=entry.caller_request_id,
                 attempt_id=entry.caller_request_id,
@@ -161,31 +170,21 @@
         )
         return None
 
-    def _refuses(
-        self, entry: base.Entry, priority: int, remaining_s: float
-    ) -> bool:
-        """Whether new work is refused now, as the dispatcher would refuse it.
+    def _refuse(
+        self, entry: base.Entry, remaining_s: float
+    ) -> outcomes.Answer | None:
+        """Refuses new work above the level of its path, unless it is too late.
 
         Requests without remaining time, and those of services without guards,
         are left to the dispatcher, whose reason for these is another one.
         """
-        if not self._early_refusals:
-            return False
-        assert entry.route_match is not None, "the route is found first"
         dispatcher = self._dispatcher
-        refused = (
-            self._level_tracker.refuses(
-                entry.service,
-                entry.route_match.route.name,
-                priority,
-                time.monotonic(),
-            )
-            and remaining_s > retry_decisions.MIN_REMAINING_S
-            and bool(dispatcher.router.targets_of(entry.service))
-        )
-        if refused:
-            dispatcher.count_early_refusal(entry.service)
-        return refused
+        if remaining_s <= retry_decisions.MIN_REMAINING_S:
+            return None
+        if not dispatcher.router.targets_of(entry.service):
+            return None
+        dispatcher.count_early_refusal(entry.service)
+        return outcomes.not_run(outcomes.Reason.OVERLOAD_DEEPER)
 
     def _forwarded_headers(
         self, headers: tuple[tuple[str, str], ...]
