Let early refusals earn retries for one second only

Early refusals were added to the retry ratio with the next call of their service, however old they were. After a long shut rank a single call could earn the retries of many seconds, beyond the ratio of its own window. They now expire after a second. The new test fails without the bound.

--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -98,14 +98,14 @@
         """Sets how many retries of a service are permitted unearned."""
         self._retry_decisions.set_retry_burst(burst)
 
-    def count_early_refusal(self, service: str) -> None:
+    def count_early_refusal(self, service: str, now_s: float) -> None:
         """Counts new work that was refused before its call was built.
 
         It earns retries of its service like one that is refused here.
         """
         self.counters.calls += 1
         self.counters.early_refusals += 1
-        self._retry_decisions.count_early_refusal(service)
+        self._retry_decisions.count_early_refusal(service, now_s)
 
     def new_id(self) -> str:
         """Returns an id that is unique across processes."""
--- a/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
+++ b/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
@@ -38,6 +38,9 @@
 # rejects half of its requests, 99 of 100 calls are accepted within this many
 # repeats. Each costs a token of the retry ratio.
 _MAX_REJECTIONS = 6
+# Early refusals count as first tries for this time. If older ones earned
+# retries, these would exceed the ratio of the window in which they are made.
+_EARLY_REFUSALS_S = 1.0
 # Refusals that any other guard of the service would repeat, so the call is not
 # rerouted.
 _SAME_EVERYWHERE = frozenset(
@@ -97,8 +100,9 @@
         self._policy_of = policy_of
         self.counters = counters
         self._retry_burst = retry_burst
-        # Early refusals since the last call, by service.
-        self._early_refusals: dict[str, int] = {}
+        # Early refusals since the last call, by service: time of the first one
+        # and their number.
+        self._early_refusals: dict[str, tuple[float, int]] = {}
         self._ratios: dict[str, allowance_lib.RetryRatio] = {}
 
     @property
@@ -117,20 +121,24 @@
     def first_try(self, call: calls.Call) -> None:
         """Counts the first attempt of a call."""
         ratio = self._ratio(call.service)
+        now_s = time.monotonic()
         if self._early_refusals:
-            refused = self._early_refusals.pop(call.service, 0)
-            if refused:
-                ratio.first_try(time.monotonic(), count=refused)
-        ratio.first_try(time.monotonic(), call.context.repeated)
+            since_s, count = self._early_refusals.pop(call.service, (0.0, 0))
+            if count and now_s - since_s <= _EARLY_REFUSALS_S:
+                ratio.first_try(now_s, count=count)
+        ratio.first_try(now_s, call.context.repeated)
 
-    def count_early_refusal(self, service: str) -> None:
+    def count_early_refusal(self, service: str, now_s: float) -> None:
         """Counts the first try of a call that was refused unbuilt.
 
         It is added to the ratio with the next call of the service, as that
         costs a refusal a single function call.
         """
-        refused = self._early_refusals.get(service, 0)
-        self._early_refusals[service] = refused + 1
+        known = self._early_refusals.get(service)
+        if known is None or now_s - known[0] > _EARLY_REFUSALS_S:
+            self._early_refusals[service] = (now_s, 1)
+        else:
+            self._early_refusals[service] = (known[0], known[1] + 1)
 
     def decide(
         self, call: calls.Call, result: calls.AttemptResult, progress: Progress
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -124,7 +124,7 @@
                     match.service, route.name, priority, now_s
                 )
             ):
-                refusal = self._refuse(entry, remaining_s)
+                refusal = self._refuse(entry, remaining_s, now_s)
                 if refusal is not None:
                     return refusal
             entry.context = context_lib.RequestContext(
@@ -171,7 +171,7 @@
         return None
 
     def _refuse(
-        self, entry: base.Entry, remaining_s: float
+        self, entry: base.Entry, remaining_s: float, now_s: float
     ) -> outcomes.Answer | None:
         """Refuses new work above the level of its path, unless it is too late.
 
@@ -183,7 +183,7 @@
             return None
         if not dispatcher.router.targets_of(entry.service):
             return None
-        dispatcher.count_early_refusal(entry.service)
+        dispatcher.count_early_refusal(entry.service, now_s)
         return outcomes.not_run(outcomes.Reason.OVERLOAD_DEEPER)
 
     def _forwarded_headers(
--- a/tests/unit/test_early_refusals.py
+++ b/tests/unit/test_early_refusals.py
@@ -8,7 +8,10 @@
 
 from burdockfront import context as context_lib
 from burdockfront import outcomes
+from burdockfront import policy
 from burdockfront import timeline
+from burdockfront_client import calls
+from burdockfront_client import retry_decisions
 from burdockfront_ctl import losses
 from burdockfront_ctl import queries
 from burdockfront_node import entry_refusals
@@ -135,6 +138,30 @@
     assert quotas.returned == 1
 
 
+@pytest.mark.parametrize(
+    ("age_s", "earned"), [(0.1, 10), (5.0, 0)], ids=["recent", "old"]
+)
+def test_refusals_earn_retries_only_for_a_short_time(age_s, earned):
+    # Refused requests earn retries of their service as first tries do. Those
+    # of long ago must not: many retries would follow a single call, beyond the
+    # ratio of the window that they are made in.
+    decisions = retry_decisions.RetryDecisions(
+        policy.default, calls.Counters(), 1.0
+    )
+    now_s = time.monotonic()
+    ratio = decisions._ratio("fees")
+    while ratio.retry(now_s):
+        pass
+    share = policy.default("fees").retry.ratio * 0.9
+    for _ in range(round(10 / share)):
+        decisions.count_early_refusal("fees", now_s - age_s)
+    decisions.first_try(builders.a_call())
+    retries = 0
+    while ratio.retry(time.monotonic()):
+        retries += 1
+    assert abs(retries - earned) <= 1
+
+
 def test_refusals_are_counted_by_class_and_reason():
     chain = _chain()
     for _ in range(3):
