--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -27,6 +27,7 @@
 from burdockfront_node import account_shares
 from burdockfront_node import availability
 from burdockfront_node import backend
+from burdockfront_node import entry_refusals
 from burdockfront_node import guard as guard_lib
 from burdockfront_node import lineage as lineage_lib
 from burdockfront_node.filters import base
@@ -248,7 +249,8 @@
             _KEY_HEADER,
             frozenset([_KEY_HEADER]),
             NoQuotas(),
-            shares.tracker if shares is not None else None,
+            entry_refusals.EntryRefusals(recorder),
+            shares=shares.tracker if shares is not None else None,
         )
         tools = base.Tools(
             self.dispatcher,
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -103,6 +103,15 @@
         """Sets how many retries of a service are permitted unearned."""
         self._retry_decisions.set_retry_burst(burst)
 
+    def count_early_refusal(self, service: str, now_s: float) -> None:
+        """Counts new work that was refused before its call was built.
+
+        It earns retries of its service like one that is refused here.
+        """
+        self.counters.calls += 1
+        self.counters.early_refusals += 1
+        self._retry_decisions.count_early_refusal(service, now_s)
+
     def new_id(self) -> str:
         """Returns an id that is unique across processes."""
         return f"{self._node_id}-{self._rng.getrandbits(48):012x}"
@@ -314,15 +323,15 @@
     def _exceeds_path_level(self, call: calls.Call, now_s: float) -> bool:
         """Whether the priority of a new request exceeds its path's level.
 
-        A deeper service would refuse such a request.
+        Routed nodes refuse most of these before they build a call. This check
+        covers the other ways in, and levels that arrived in the meantime.
         """
         context = call.context
         if context.depth > 0:
             return False
-        level = self.level_tracker.level_of(
-            call.service, context.class_name, now_s
+        return self.level_tracker.refuses(
+            call.service, context.class_name, context.priority, now_s
         )
-        return context.priority > level + levels.ENTRY_SLACK
 
     def _no_target(
         self, call: calls.Call, progress: retry_decisions.Progress
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/latencies.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/latencies.py
@@ -38,7 +38,12 @@
         """Records the latency if the event ends a request."""
         detail = event.detail
         if event.kind == "entry.answered":
-            self.entry_s.observe(detail["outcome"], detail["elapsed_s"])
+            outcome, elapsed_s = detail["outcome"], detail["elapsed_s"]
+            if "count" in detail:
+                # A sampled event stands for several requests.
+                self.entry_s.observe(outcome, elapsed_s, detail["count"])
+            else:
+                self.entry_s.observe(outcome, elapsed_s)
         elif event.kind == "call.answered":
             self.backend_s.observe(detail["outcome"], detail["service_s"])
 
@@ -61,14 +66,14 @@
         self._counts: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
 
-    def observe(self, outcome: str, elapsed_s: float) -> None:
-        """Adds an observed duration."""
+    def observe(self, outcome: str, elapsed_s: float, count: int = 1) -> None:
+        """Adds a duration that was observed a number of times."""
         counts = self._counts.get(outcome)
         if counts is None:
             counts = self._counts[outcome] = [0] * len(_NAMES)
             self._sums_s[outcome] = 0.0
-        counts[bisect.bisect_left(_BOUNDS_S, elapsed_s)] += 1
-        self._sums_s[outcome] += elapsed_s
+        counts[bisect.bisect_left(_BOUNDS_S, elapsed_s)] += count
+        self._sums_s[outcome] += count * elapsed_s
 
     def collect(self) -> Iterator[core.Metric]:
         """Yields the histogram as a type of the metrics library."""
--- a/packages/burdockfront-node/src/burdockfront_node/filters/base.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/base.py
@@ -18,6 +18,7 @@
 from burdockfront_client import attempts
 from burdockfront_client import calls
 from burdockfront_client import dispatcher
+from burdockfront_node import entry_refusals
 from burdockfront_node.internal import messages
 
 FILTERS = registry.Registry("filter")
@@ -143,6 +144,11 @@
         reserved_with_accounts: Further reserved headers, where callers need an
             API key.
         quotas: Quotas of client accounts.
+        refusals: Counts and samples of requests refused for overload.
+        early_refusals: Whether new work above the level of its path is refused
+            before a call is built.
+        forecasts_levels: Whether retry-after times follow from the course of
+            levels.
         shares: Accounts above their fair share; None if unused.
     """
 
@@ -154,6 +160,9 @@
     key_header: str
     reserved_with_accounts: frozenset[str]
     quotas: Quotas
+    refusals: entry_refusals.EntryRefusals
+    early_refusals: bool = True
+    forecasts_levels: bool = True
     shares: fair_shares.ShareTracker | None = None
 
 
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -26,6 +26,7 @@
 from burdockfront_node import backend_load as backend_load_lib
 from burdockfront_node import daemon as daemon_lib
 from burdockfront_node import daemon_components
+from burdockfront_node import entry_refusals as entry_refusals_lib
 from burdockfront_node import handover as handover_lib
 from burdockfront_node import internal_app
 from burdockfront_node import lineage as lineage_lib
@@ -130,6 +131,7 @@
             self._rng,
             self._ready,
         )
+        self._refusals = entry_refusals_lib.EntryRefusals(self._recorder)
         self._accounts = account_status_lib.AccountStatus(
             self._resolver, self._quotas
         )
@@ -221,8 +223,10 @@
         )
 
     def _new_lineage(self) -> lineage_lib.Lineage:
+        level_tracker = self._dispatcher.level_tracker
+        level_tracker.relax_per_s = self._routed.level_relax_per_s
         self._lineage = lineage_lib.Lineage(
-            self._dispatcher.level_tracker,
+            level_tracker,
             self._dispatcher.router.service_count,
         )
         self._dispatcher.observer = self._lineage.on_call_answer
@@ -271,7 +275,10 @@
             self._adapter.dialect.key_header,
             self._adapter.dialect.reserved_with_accounts,
             self._quotas,
-            self._shares.tracker if self._shares is not None else None,
+            self._refusals,
+            self._routed.early_refusals,
+            self._routed.retry_after == "forecast",
+            shares=self._shares.tracker if self._shares is not None else None,
         )
         return base.Tools(
             self._dispatcher,
@@ -314,7 +321,7 @@
             )
         )
         exposition = exposition_lib.Exposition(
-            self._metrics, self._latencies, self._log, self._account_metrics
+            self._metrics, self._latencies, self._log, self._more_metrics
         )
         return [
             http_port.Port(
@@ -332,6 +339,12 @@
             servers.Listener(exposition.app, self._routed.metrics_address),
         ]
 
+    def _more_metrics(self) -> Iterator[core.Metric]:
+        yield from self._accounts.metrics()
+        yield from self._refusals.metrics()
+        if self._shares is not None:
+            yield from self._shares.metrics()
+
     def _extra_peer_handlers(self) -> dict[str, internal_app.JsonHandler]:
         async def routes(message: dict[str, object]) -> dict[str, object]:
             return self._route_watch.on_peer(message)
@@ -351,11 +364,6 @@
             handlers["/operator/shares"] = self._shares.status
         return handlers
 
-    def _account_metrics(self) -> Iterator[core.Metric]:
-        yield from self._accounts.metrics()
-        if self._shares is not None:
-            yield from self._shares.metrics()
-
     def _is_ready(self) -> bool:
         """Whether callers may send requests to this node."""
         return self._ready.is_set() and not self._stop.is_set()
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -4,11 +4,13 @@
 import pathlib
 from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import pydantic
 import yaml
 
 from burdockfront import errors
+from burdockfront import levels
 from burdockfront import policy
 from burdockfront_node import yaml_lines
 
@@ -90,6 +92,13 @@
             tolerated per window, of all nodes together.
         load_reports: Whether the load that the backend server reports is used.
         fair_shares: Whether client accounts share a scarce service fairly.
+        early_refusals: Whether new work above the level of its path is refused
+            before a call is built. Otherwise the dispatcher refuses it.
+        retry_after: How retry-after times of overload refusals are set: from
+            the course of the path's level, or as a share of the target latency
+            of the route alone.
+        level_relax_per_s: How fast a level that was received rises without
+            news, in priority numbers per second. A rank has 256 of them.
     """
 
     adapter: str
@@ -105,6 +114,11 @@
     quota_slack: float = pydantic.Field(default=0.0, ge=0)
     load_reports: pydantic.StrictBool = True
     fair_shares: pydantic.StrictBool = True
+    early_refusals: bool = True
+    retry_after: Literal["forecast", "target"] = "forecast"
+    level_relax_per_s: float = pydantic.Field(
+        default=levels.RELAX_PER_S, ge=64, le=2048
+    )
 
 
 class NodeSettings(_Model):
