Tests of the choice report a pace, and one pins that loads alone move nothing

Routers weigh loads only once a guard has told a pace. The builders of the choice tests and their model now report one, as guards of such deployments do; what they check is unchanged. A new test guards deployments without it.

--- a/tests/choice_model.py
+++ b/tests/choice_model.py
@@ -156,6 +156,8 @@
         for group in self.routers.values():
             for router in group:
                 router.update(targets)
+                # Loads count once a guard has told how fast its server is.
+                router.record_pace(targets[0].node_id, 1.0, 0.0)
 
     def add(self, server: Server) -> None:
         """Adds a server that all routers learn of at once."""
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -18,6 +18,8 @@
         builders.a_target(name, data_center="dc1", slots=slots)
         for name in names
     )
+    # Loads count once a guard has told how fast its server is.
+    router.record_pace(names[0], 1.0, 0.0)
     return router
 
 
@@ -133,9 +135,25 @@
             builders.a_target("far", data_center="dc2", slots=40, **changes),
         ]
     )
+    router.record_pace("near", 1.0, 0.0)
     return router
 
 
+def test_loads_without_any_pace_move_no_call_to_another_data_center():
+    # Failure: deployments whose servers do not tell how fast they are were
+    # served differently, and paid for more transfers.
+    router = routing.Router("dc1", random.Random(3))
+    router.update(
+        [
+            builders.a_target("near", data_center="dc1", slots=40),
+            builders.a_target("far", data_center="dc2", slots=40),
+        ]
+    )
+    router.record_answer("near", 1.0, False, 1.0)
+    router.record_answer("far", 0.3, False, 1.0)
+    assert _share(router, "near", 1.0) == 1.0
+
+
 def test_call_leaves_a_full_near_guard_before_calls_wait():
     # Failure: one of four servers of a deep service had 1.6 times the mean
     # load. Its calls waited and its level fell while others had free slots.
