Setting for the time after which a received level rises

Cause: received levels rise sooner and faster without news, in all deployments; the rate was a setting, the time a constant. Change: routed.level_relax_after_s, checked. On the platform both settings have their former values, so earlier deployments are served as before.

--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -224,6 +224,7 @@
 
     def _new_lineage(self) -> lineage_lib.Lineage:
         level_tracker = self._dispatcher.level_tracker
+        level_tracker.relax_after_s = self._routed.level_relax_after_s
         level_tracker.relax_per_s = self._routed.level_relax_per_s
         self._lineage = lineage_lib.Lineage(
             level_tracker,
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -97,6 +97,8 @@
         retry_after: How retry-after times of overload refusals are set: from
             the course of the path's level, or as a share of the target latency
             of the route alone.
+        level_relax_after_s: Time without news after which a level that was
+            received rises.
         level_relax_per_s: How fast a level that was received rises without
             news, in priority numbers per second. A rank has 256 of them.
     """
@@ -116,6 +118,9 @@
     fair_shares: pydantic.StrictBool = True
     early_refusals: bool = True
     retry_after: Literal["forecast", "target"] = "forecast"
+    level_relax_after_s: float = pydantic.Field(
+        default=levels.RELAX_AFTER_S, ge=0.1, le=10.0
+    )
     level_relax_per_s: float = pydantic.Field(
         default=levels.RELAX_PER_S, ge=64, le=2048
     )
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -53,7 +53,7 @@
 # until a request passes and its answer tells the present level. With 0.5 s and
 # 256 per second, entries opened 0.5 to 0.7 s after the service; twice this rate
 # lets half as many more requests through in vain.
-_RELAX_AFTER_S = 0.3
+RELAX_AFTER_S = 0.3
 RELAX_PER_S = 384.0
 _EXPIRY_S = 10.0
 _RECEIVED_WEIGHT = 0.4
@@ -211,10 +211,12 @@
     """Levels received from guards of other services, by service and class.
 
     Attributes:
-        relax_per_s: How fast a level rises without news.
+        relax_after_s: Time without news after which a level rises.
+        relax_per_s: How fast it rises then.
     """
 
     def __init__(self) -> None:
+        self.relax_after_s = RELAX_AFTER_S
         self.relax_per_s = RELAX_PER_S
         self._received: dict[tuple[str, str], _ReceivedLevel] = {}
         # (Called service, class of the call) -> the service whose level was the
@@ -272,7 +274,7 @@
         received = self._received.get((service, class_name))
         if received is None:
             return OPEN
-        relaxed_s = now_s - received.at_s - _RELAX_AFTER_S
+        relaxed_s = now_s - received.at_s - self.relax_after_s
         if relaxed_s <= 0.0:
             return int(received.level)
         return min(OPEN, int(received.level + relaxed_s * self.relax_per_s))
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -58,6 +58,7 @@
         {"retry_after": "soon"},
         {"early_refusals": "perhaps"},
         {"level_relax_per_s": 0},
+        {"level_relax_after_s": 0},
     ):
         (name,) = wrong
         with pytest.raises(errors.SettingsError, match=f"routed.{name}"):
