--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/compare.py
@@ -1,6 +1,7 @@
 """Compares kinds of admission over seeds and troubles, in the model of a site.
 
 python -m burdockfront_bench.site_model.compare flow level --seeds 4
+python -m burdockfront_bench.site_model.compare flow --scarce
 """
 
 import dataclasses
@@ -48,6 +49,18 @@
     return (sheet_lib.Trouble("slow", 3.0, 6.0, 5.0, 0.25),)
 
 
+@CASES.register("spells")
+def spells() -> Troubles:
+    """15% of the servers are slow for 0.6 s at a time, and report it."""
+    return (sheet_lib.Trouble("spells", 0.0, _LENGTH_S, 2.5, 0.15),)
+
+
+@CASES.register("waves")
+def waves() -> Troubles:
+    """Demand swings between data centres."""
+    return (sheet_lib.Trouble("waves", 0.0, _LENGTH_S, 0.55),)
+
+
 @CASES.register("lost")
 def lost() -> Troubles:
     """A quarter of the nodes is gone for a while, beside a burst."""
@@ -98,11 +111,11 @@
     over_limit: int
 
 
-def measure(admission: str, case: str, seeds: int) -> Row:
-    """Plays one case with several seeds."""
+def measure(admission: str, case: str, seeds: int, scarce: bool = False) -> Row:
+    """Plays one case with several seeds, on the evening or the scarce sheet."""
     results = [
         site_lib.run(
-            sheet_lib.evening(),
+            sheet_lib.scarce() if scarce else sheet_lib.evening(),
             seed,
             _LENGTH_S,
             admission,
@@ -133,11 +146,11 @@
 
 
 @app.default
-def main(*admissions: str, seeds: int = 3) -> None:
+def main(*admissions: str, seeds: int = 3, scarce: bool = False) -> None:
     """Prints a row for each kind of admission and case."""
     for case in CASES.names():
         for admission in admissions or ("flow", "level", "limit"):
-            row = measure(admission, case, seeds)
+            row = measure(admission, case, seeds, scarce)
             print(
                 f"{row.case:6} {row.admission:6} worth {row.worth:.3f} "
                 f"+-{row.spread:.3f} useful {row.useful:.2f} {row.served} "
--- a/tests/unit/test_site_model.py
+++ b/tests/unit/test_site_model.py
@@ -29,6 +29,23 @@
     assert first == site.run(sheet.evening(), 5, 1.0, troubles=short)
 
 
+@pytest.mark.parametrize("kind", ["waves", "spells"])
+def test_waves_and_spells_repeat_exactly(kind):
+    """Failure: a comparison of choices depends on draws outside of the seed."""
+    factor = {"waves": 0.55, "spells": 2.5}[kind]
+    troubles = (sheet.Trouble(kind, 0.0, 1.0, factor, 0.5),)
+    first = site.run(sheet.scarce(), 5, 1.0, troubles=troubles)
+    assert first == site.run(sheet.scarce(), 5, 1.0, troubles=troubles)
+
+
+def test_spells_take_slot_time():
+    """Failure: spells reach no server, and all choices compare alike."""
+    troubles = (sheet.Trouble("spells", 0.0, 1.0, 2.5, 0.5),)
+    slow = site.run(sheet.scarce(), 5, 1.0, troubles=troubles)
+    calm = site.run(sheet.scarce(), 5, 1.0)
+    assert sum(slow.usage.values()) > 1.2 * sum(calm.usage.values())
+
+
 def test_calm_evening_refuses_nobody():
     """Pattern: all services have room."""
     result = site.run(sheet.evening(), 1, 2.0)
