Tag calls with their account only where guards tell how fast servers are

Deployments with client accounts whose servers report nothing of their machines paid the bytes of the tag on each call, though no guard there names an account. Tests of accounts and shares pass unchanged.

--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -118,7 +118,8 @@
             rank = self._resolver.accounts.rank_of(account, route.rank)
             ordinal = identify.ordinal_of(entry.caller_request_id)
             account_tag = ""
-            if self._shares is not None and self._resolver.accounts.in_use:
+            if self._tags_accounts():
+                assert self._shares is not None
                 if account is not None:
                     tags = self._resolver.accounts.tags
                     account_tag = tags.get(account.name, "")
@@ -204,6 +205,13 @@
         dispatcher.count_early_refusal(entry.service, now_s)
         return outcomes.not_run(outcomes.Reason.OVERLOAD_DEEPER)
 
+    def _tags_accounts(self) -> bool:
+        """Whether calls carry the tag of the account of their request."""
+        shares = self._shares
+        if shares is None or not self._resolver.accounts.in_use:
+            return False
+        return shares.is_active()
+
     def _forwarded_headers(
         self, headers: tuple[tuple[str, str], ...]
     ) -> tuple[tuple[str, str], ...]:
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -236,6 +236,8 @@
     def _new_shares(self) -> account_shares_lib.AccountShares | None:
         self._shares: account_shares_lib.AccountShares | None = None
         if self._routed.fair_shares:
+            router = self._dispatcher.router
+            self._dispatcher.share_tracker.is_active = lambda: router.has_paces
             self._shares = account_shares_lib.AccountShares(
                 self._resolver,
                 self._dispatcher.share_tracker,
--- a/packages/burdockfront/src/burdockfront/fair_shares.py
+++ b/packages/burdockfront/src/burdockfront/fair_shares.py
@@ -391,9 +391,12 @@
     Attributes:
         any_named: Whether there are reports, which may have expired.
         applied: Number of requests whose account was above its share.
+        is_active: Returns whether calls carry tags of accounts. Defaults to
+            always.
     """
 
     def __init__(self, level_tracker: levels.LevelTracker):
+        self.is_active: Callable[[], bool] = lambda: True
         self.any_named = False
         self.applied = 0
         self._level_tracker = level_tracker
