Quota tokens go to important requests first, however long others wait

Cause: a request is promised tokens as far ahead as it waits, a quarter of its target latency. Pages wait for 0.375 s, the urgent ones for 0.094 s, so the whole refill was promised to pages before an urgent request could have any of it.

Change: for 5 s after a refusal, less important requests of the account are promised nothing, and those of the same rank no more than the refused request could wait for. Nothing changes for an account that refuses nobody.

--- a/packages/burdockfront/src/burdockfront/quota_allocator.py
+++ b/packages/burdockfront/src/burdockfront/quota_allocator.py
@@ -30,6 +30,12 @@
 _RESERVE_S = 0.05
 _MIN_RESERVE = 0.5
 _MAX_RESERVE_RANKS = 2
+# For this long after a refusal, less important requests of the account are not
+# promised tokens. Shorter times let a refusal pass each time that they end.
+_PREFER_S = 5.0
+# A request that asks a second time, after the loss of its allocator, may wait
+# for little more. Its refusal says nothing about others of its kind.
+_MIN_USUAL_WAIT_S = 0.05
 # After this long without any report, other nodes allocate in this node's place.
 _TERM_S = 3.0
 _MIN_RATE_PER_S = 1e-6
@@ -38,6 +44,19 @@
 _ROUNDING = 1e-9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """A refusal for want of tokens.
+
+    Attributes:
+        at_s: Monotonic time.
+        max_wait_s: Shortest wait of the requests refused about that time.
+    """
+
+    at_s: float
+    max_wait_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     """Token bucket of an account.
@@ -49,6 +68,7 @@
         scarce_since_s: Monotonic time since which the account is scarce.
         rate_per_s: Rate at which it was filled last.
         initial_share: Fraction of `Limit.initial` already added to the level.
+        refusals: The last refusal of each rank.
     """
 
     level: float
@@ -56,6 +76,7 @@
     scarce_since_s: float
     rate_per_s: float
     initial_share: float = 0.0
+    refusals: dict[int, _Refusal] = dataclasses.field(default_factory=dict)
 
 
 class QuotaAllocator:
@@ -216,8 +237,15 @@
             known_s = _known_at_s(bucket, now_s) - now_s
             wait_s = min(wait_s, max(missing * interval_s, known_s))
         wait_s = max(0.0, wait_s)
-        promised = _promised(request, request.count - count, wait_s, interval_s)
+        promised = _promised(
+            _max_promise_s(request, bucket, now_s),
+            request.count - count,
+            wait_s,
+            interval_s,
+        )
         bucket.level -= promised
+        if count + promised < request.count:
+            _record_refusal(request, bucket, now_s)
         return quotas.TokenGrant(
             request.account, request.rank, count, wait_s, promised, interval_s
         )
@@ -254,19 +282,52 @@
     return bucket.scarce_since_s + _REPORT_TTL_S
 
 
+def _max_promise_s(
+    request: quotas.TokenRequest, bucket: _Bucket, now_s: float
+) -> float:
+    """Returns how far ahead a request may be promised a token.
+
+    A promise is not taken back. Requests that wait longer, as routes with a
+    high target latency let them, are promised the whole refill before requests
+    that wait less can have any of it. So after a refusal, less important
+    requests are promised nothing, and those of the same rank no more than the
+    refused one could wait for.
+    """
+    limit_s = min(request.max_wait_s, quotas.MAX_TOKEN_WAIT_S)
+    for rank, refusal in bucket.refusals.items():
+        if now_s - refusal.at_s >= _PREFER_S:
+            continue
+        if rank < request.rank:
+            return 0.0
+        if rank == request.rank:
+            limit_s = min(limit_s, refusal.max_wait_s)
+    return limit_s
+
+
+def _record_refusal(
+    request: quotas.TokenRequest, bucket: _Bucket, now_s: float
+) -> None:
+    if request.max_wait_s < _MIN_USUAL_WAIT_S:
+        return
+    wait_s = request.max_wait_s
+    known = bucket.refusals.get(request.rank)
+    if known is not None and now_s - known.at_s < _PREFER_S:
+        wait_s = min(wait_s, known.max_wait_s)
+    bucket.refusals[request.rank] = _Refusal(now_s, wait_s)
+
+
 def _promised(
-    request: quotas.TokenRequest, count: int, wait_s: float, interval_s: float
+    max_wait_s: float, count: int, wait_s: float, interval_s: float
 ) -> int:
     """Returns how many tokens are promised ahead of time.
 
     Args:
-        request: The request for tokens.
-        count: Number of its tokens that are not available now.
+        max_wait_s: How far ahead a token may be promised.
+        count: Number of requested tokens that are not available now.
         wait_s: Time until the first of them is available.
         interval_s: Time between two of them.
     """
-    max_wait_s = min(request.max_wait_s, quotas.MAX_TOKEN_WAIT_S)
-    if wait_s > max_wait_s:
+    if wait_s > max_wait_s or max_wait_s <= 0.0:
         return 0
     return min(count, 1 + int((max_wait_s - wait_s) / interval_s))
 
--- a/tests/unit/test_quota_allocator.py
+++ b/tests/unit/test_quota_allocator.py
@@ -1,5 +1,7 @@
 """Which tokens the quota allocator grants now, and which it promises."""
 
+import random
+
 import pytest
 
 from burdockfront import quota_allocator
@@ -107,3 +109,46 @@
     for node in range(1, _NODES):
         allocator.on_report(quotas.Report(f"n{node}"), _NODES, 8.6)
     assert _ask(allocator, 0, 8.7).count == 1
+
+
+@pytest.mark.parametrize("rate_per_s", [10.0, 100.0])
+def test_requests_that_wait_longer_do_not_use_the_tokens_of_important_ones(
+    rate_per_s,
+):
+    """Guards against important requests refused for those that wait longer.
+
+    Listings ask for three times the rate and wait for 0.375 s. Confirmations
+    ask for half of the rate, and their low target latency lets them wait for
+    0.1 s only. All refill was promised to listings before it arrived.
+    """
+    allocator = _allocator(rate_per_s, rate_per_s)
+    admitted = {0: 0, 1: 0}
+    asked = {0: 0, 1: 0}
+    steps = int(rate_per_s * 30)
+    for step in range(steps):
+        now_s = step / steps * 10.0
+        wanted = [1] if step % 6 else [1, 0]
+        for rank in wanted:
+            grant = _ask(
+                allocator, step % _NODES, now_s, (0.1, 0.375)[rank], rank=rank
+            )
+            asked[rank] += 1
+            admitted[rank] += grant.count + grant.promised
+    assert admitted[0] > 0.9 * asked[0]
+    assert admitted[1] > 0.4 * rate_per_s * 10.0, "the rest goes to listings"
+    assert sum(admitted.values()) <= 1.1 * rate_per_s * 10.0
+
+
+def test_requests_of_one_rank_share_tokens_though_some_wait_longer():
+    """Guards against downloads refused for pages whose callers wait longer."""
+    allocator = _allocator(100.0, 100.0)
+    admitted = [0, 0]
+    rng = random.Random(1)
+    for step in range(4000):
+        kind = rng.randrange(2)
+        grant = _ask(
+            allocator, step % _NODES, step / 400.0, (0.2, 0.375)[kind], rank=1
+        )
+        admitted[kind] += grant.count + grant.promised
+    assert min(admitted) > 0.8 * max(admitted)
+    assert sum(admitted) <= 1100
