Operators see which services are short, and the bottleneck of a refusal

show levels lists the short services that each node knows, with level and age; why names the service with the lowest level of the path. Cause: an entry whose own level is open refuses, and nothing told for which service.

--- a/packages/burdockfront-ctl/src/burdockfront_ctl/queries.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/queries.py
@@ -102,9 +102,17 @@
     rows = []
     for reply in await nodes.ask_all("status", {}):
         if reply.data is not None:
-            rows.append({**reply.data, **_guard_counters(reply.data)})
+            row = {**reply.data, **_guard_counters(reply.data)}
+            # Nodes of an earlier version do not report this.
+            row["short"] = ", ".join(
+                f"{one['service']} {one['level']} ({one['age_s']:.2f} s ago)"
+                for one in reply.data.get("short", [])
+            )
+            rows.append(row)
     rows.sort(key=lambda row: (str(row["service"]), str(row["node"])))
     columns = ["service", "node", "level", "load", "handed_over", "refused"]
+    if any(row["short"] for row in rows):
+        columns.append("short")
     return render.View("levels (2048 = open)", columns, rows)
 
 
@@ -249,7 +257,12 @@
             f"{detail['reason']}, priority {detail['priority']} with the "
             f"guard's level at {detail['level']}"
         )
-        # Nodes of an earlier version do not record this.
+        # Nodes of an earlier version do not record the following.
+        if detail.get("bottleneck"):
+            text += (
+                f", and the lowest level of its path, {detail['path_level']}, "
+                f"that of {detail['bottleneck']}; see 'show levels'"
+            )
         if detail.get("over_share"):
             short = ", ".join(detail["short_services"])
             text += (
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -439,6 +439,7 @@
             reason=refusal.reason or "",
             priority=context.priority,
             level=self.level(),
+            bottleneck=self._bottleneck_of(context)[1],
             path_level=self._dispatcher.level_tracker.path_level(
                 context.class_name, time.monotonic()
             ),
--- a/packages/burdockfront-node/src/burdockfront_node/operators.py
+++ b/packages/burdockfront-node/src/burdockfront_node/operators.py
@@ -1,5 +1,6 @@
 """Queries and commands of operators on the internal port."""
 
+import dataclasses
 import time
 from typing import Any
 
@@ -36,6 +37,12 @@
             "watching": parts.policies.watching(),
             "in_flight": parts.guard.in_flight,
             "level": parts.guard.level(),
+            "short": [
+                dataclasses.asdict(one)
+                for one in parts.dispatcher.level_tracker.services.short(
+                    time.monotonic()
+                )
+            ],
             "load": round(parts.guard.load(), 3),
             "ejected": parts.dispatcher.router.ejected(),
             "quarantined": parts.exchange.crash_gossip.tracker.quarantined,
--- a/packages/burdockfront/src/burdockfront/service_levels.py
+++ b/packages/burdockfront/src/burdockfront/service_levels.py
@@ -94,6 +94,14 @@
             return context.OPEN_LEVEL
         return int(known.level)
 
+    def short(self, now_s: float) -> list[ServiceLevel]:
+        """Returns the services that are known to be short, for operators."""
+        return [
+            ServiceLevel(service, int(known.level), now_s - known.at_s)
+            for service, known in sorted(self._known.items())
+            if now_s - known.at_s < _FRESH_S and known.level < _OPEN_FROM
+        ]
+
     def to_send(self, now_s: float) -> list[ServiceLevel]:
         """Returns the levels to send with an answer, shortest service first."""
         if not self._known:
