--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -111,14 +111,14 @@
         ticket: Ticket of a call that must run at most once.
         received: The self report of the guard's backend server that the sender
             received last.
-        waited_s: How long the attempt has waited for its slot.
+        arrived_s: Monotonic time at which it arrived at the guard.
     """
 
     call: Call
     context: context_lib.RequestContext
     ticket: tickets.Ticket | None
     received: self_reports.SelfReport | None = None
-    waited_s: float = 0.0
+    arrived_s: float = 0.0
 
 
 class Delivery(enum.Enum):
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -87,7 +87,7 @@
             if self._lineage is not None:
                 waited_below_s = self._lineage.on_run_end(attempt, ended_s)
             gate.leave(service_s, class_name, waited_below_s)
-        answer.queue_s = attempt.waited_s + waited_below_s
+        answer.queue_s = started_s - attempt.arrived_s + waited_below_s
         if self._lineage is not None:
             answer = self._lineage.on_run_answer(attempt, started_s, answer)
         if answer.reason is outcomes.Reason.LOST_ANSWER:
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -338,10 +338,8 @@
 
     async def _admit(self, attempt: calls.Attempt) -> outcomes.Answer | None:
         """Waits for a slot; returns a refusal, or None with a slot."""
-        arrived_s = time.monotonic()
+        attempt.arrived_s = arrived_s = time.monotonic()
         refusal = self._early_refusal(attempt)
-        if refusal is None and attempt.context.depth == 0:
-            self._set_admitted_share(attempt.context)
         refusal = refusal or await self._quarantine.enter(attempt)
         refusal = refusal or await self._wait_for_slot(attempt)
         if refusal is None:
@@ -358,9 +356,7 @@
         refusal: outcomes.Answer | None = None
         admitted = False
         try:
-            entered_s = time.monotonic()
             refusal = await self._gate.enter(attempt.context)
-            attempt.waited_s = time.monotonic() - entered_s
             admitted = refusal is None
         finally:
             if not admitted:
@@ -372,29 +368,20 @@
         reason = self._availability.reason_to_refuse(attempt.call.service)
         if reason is not None:
             return _not_run(reason)
-        if self._exceeds_path_level(attempt.context):
-            return _not_run(outcomes.Reason.OVERLOAD_DEEPER)
-        return None
-
-    def _exceeds_path_level(self, context: context_lib.RequestContext) -> bool:
-        """Whether a new request exceeds the level of a downstream service."""
+        context = attempt.context
         if context.depth > 0:
-            return False
-        path_level = self._dispatcher.level_tracker.path_level(
+            return None
+        level, bottleneck = self._dispatcher.level_tracker.path_bottleneck(
             context.class_name, time.monotonic()
         )
-        return context.priority > path_level
-
-    def _set_admitted_share(self, context: context_lib.RequestContext) -> None:
-        """Notes which share of its rank a new request was admitted with.
-
-        The guards of its nested calls estimate the whole demand from it.
-        """
-        level, bottleneck = self._bottleneck_of(context)
-        share = levels.admitted_share(level, context.rank)
-        if share < context.admitted_share:
-            context.admitted_share = share
-            context.limited_by = bottleneck
+        if context.priority > level:
+            return _not_run(outcomes.Reason.OVERLOAD_DEEPER)
+        if self._dispatcher.level_tracker.services.any_known:
+            own = self.level()
+            if own < level:
+                level, bottleneck = own, attempt.call.service
+            _set_admitted_share(context, level, bottleneck)
+        return None
 
     def _bottleneck_of(
         self, context: context_lib.RequestContext
@@ -403,8 +390,9 @@
         level, bottleneck = self._dispatcher.level_tracker.path_bottleneck(
             context.class_name, time.monotonic()
         )
-        if self.announcement is not None and self.level() <= level:
-            return self.level(), self.announcement.service
+        own = self.level()
+        if own < level and self.announcement is not None:
+            return own, self.announcement.service
         return level, bottleneck
 
     def _return_slot(self, attempt: calls.Attempt) -> None:
@@ -504,11 +492,12 @@
         rate-limited server with idle slots, whose level would wrongly indicate
         spare capacity.
         """
-        tracker = self._dispatcher.level_tracker
-        now_s = time.monotonic()
+        services = self._dispatcher.level_tracker.services
         received = answer.level
         answer.level = None
-        answer.service_levels = tracker.services.to_send(now_s)
+        answer.service_levels = ()
+        if services.any_known:
+            answer.service_levels = services.to_send(time.monotonic())
         if not accepts_work:
             return
         level, bottleneck = self._bottleneck_of(context)
@@ -521,6 +510,19 @@
         answer.bottleneck = bottleneck if level < levels.OPEN else ""
 
 
+def _set_admitted_share(
+    context: context_lib.RequestContext, level: int, bottleneck: str
+) -> None:
+    """Notes which share of its rank a new request was admitted with.
+
+    The guards of its nested calls estimate the whole demand from it.
+    """
+    share = levels.admitted_share(level, context.rank)
+    if share < context.admitted_share:
+        context.admitted_share = share
+        context.limited_by = bottleneck
+
+
 def _ignore(incarnation: incarnations.Incarnation) -> None:
     """Default of `on_server_leaving`, where only announcements are used."""
 
--- a/packages/burdockfront/src/burdockfront/service_levels.py
+++ b/packages/burdockfront/src/burdockfront/service_levels.py
@@ -54,9 +54,14 @@
 
 
 class ServiceLevels:
-    """The levels of short services, as known to one node."""
+    """The levels of short services, as known to one node.
+
+    Attributes:
+        any_known: Whether any service was short since the start.
+    """
 
     def __init__(self) -> None:
+        self.any_known = False
         self._known: dict[str, _Known] = {}
 
     def record(self, service: str, level: int, at_s: float) -> None:
@@ -71,6 +76,7 @@
         if known is None or at_s - known.at_s >= _FRESH_S:
             if level < context.OPEN_LEVEL:
                 self._known[service] = _Known(level, at_s, at_s)
+                self.any_known = True
             return
         if at_s <= known.at_s:
             return
