Use the new decisions in systems with a scarce service

Cause: they were in force only where servers report the slowdown of their machines.

Change: a service with fewer than a twelfth of all guards, of 24 or more, makes a system one with a scarce service (and no longer above a tenth). Guards then use admission.scarce_kind, name accounts above their share, and routers weigh loads; the last also where any guard tells a pace.

Tests: what counts as scarce, and that the loss of nodes does not flip it.

--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -53,7 +53,7 @@
         self._rate = rate
         self._policy_of = policy_of
         self._policy = policy_of(announcement.service)
-        self._is_reported = False
+        self._is_scarce = False
         rules = self._rules_of(self._policy)
         self._limit = limits.ConcurrencyLimit(
             announcement.slots,
@@ -174,10 +174,10 @@
             self._apply_policy(policy)
         self._apply(self._admission.advance(time.monotonic()))
 
-    def set_reported(self, is_reported: bool) -> None:
-        """Sets whether the backend server reports how fast it is."""
-        if is_reported is not self._is_reported:
-            self._is_reported = is_reported
+    def set_scarce(self, is_scarce: bool) -> None:
+        """Sets whether the system has a scarce service."""
+        if is_scarce is not self._is_scarce:
+            self._is_scarce = is_scarce
             self._apply_policy(self._policy)
 
     def _rules_of(
@@ -185,8 +185,8 @@
     ) -> policy_lib.AdmissionPolicy:
         """Returns the rules of a policy, with the kind that is in force."""
         rules = policy.admission
-        if self._is_reported and rules.reported_kind is not None:
-            rules = dataclasses.replace(rules, kind=rules.reported_kind)
+        if self._is_scarce and rules.scarce_kind is not None:
+            rules = dataclasses.replace(rules, kind=rules.scarce_kind)
         self._rules = rules
         return rules
 
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -306,8 +306,7 @@
                 self._tick(self._gate)
 
     def _tick(self, gate: gate_lib.Gate) -> None:
-        if self._server_load is not None:
-            gate.set_reported(self._server_load.is_reported)
+        gate.set_scarce(self._dispatcher.router.has_scarce_service)
         gate.tick()
         if self._shares is not None:
             self._shares.log_change(time.monotonic())
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -237,20 +237,19 @@
         self._shares: account_shares_lib.AccountShares | None = None
         if self._routed.fair_shares:
             router = self._dispatcher.router
-            self._dispatcher.share_tracker.is_active = lambda: router.has_paces
+
+            def has_scarce_service() -> bool:
+                return router.has_scarce_service
+
+            self._dispatcher.share_tracker.is_active = has_scarce_service
             self._shares = account_shares_lib.AccountShares(
                 self._resolver,
                 self._dispatcher.share_tracker,
                 self._recorder,
-                self._reports_load,
+                has_scarce_service,
             )
         return self._shares
 
-    def _reports_load(self) -> bool:
-        """Whether the backend server reports its load and how fast it is."""
-        load = self._backend_load
-        return load is not None and load.server_load.is_reported
-
     def _guard_rules(self) -> availability.GuardRules:
         return availability.GuardRules(
             drain_grace_s=0.0,
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -41,6 +41,14 @@
 _MIN_PACE = 1.0
 _MAX_PACE = 10.0
 _DRAINING_FRESH_S = 5.0
+# A service with fewer than the first share of all guards is scarce, until it
+# has more than the second. The guard of a scarce service serves the calls of a
+# dozen nodes, so that it learns the demand within a tenth of a second, and its
+# level has to reach as many.
+_SCARCE_SHARE = 1.0 / 12.0
+_NOT_SCARCE_SHARE = 0.1
+# Smaller systems have too few guards for such a share.
+_MIN_GUARDS = 24
 # Bounds of the random factor on the time that a limited guard is avoided, so
 # that routers that were refused at the same moment do not return together.
 _LIMIT_JITTER = (0.5, 1.5)
@@ -150,6 +158,7 @@
         self._states: dict[str, _State] = {}
         self._candidates: dict[str, Candidates] = {}
         self._has_paces = False
+        self._has_scarce_service = False
         # Guards that reported an unusual pace last.
         self._paced: set[str] = set()
 
@@ -164,6 +173,7 @@
                 self._paced.discard(target.node_id)
                 self.forget(target.node_id)
         self._targets = by_service
+        self._find_scarce_service()
         self._candidates.clear()
         known = {name for group in by_service.values() for name in group}
         for node_id in list(self._states):
@@ -434,14 +444,31 @@
         slots = max(1, target.slots)
         return max(state.load, state.in_flight / slots) + 1 / slots
 
+    def _find_scarce_service(self) -> None:
+        counts = [len(group) for group in self._targets.values()]
+        total = sum(counts)
+        if total < _MIN_GUARDS:
+            self._has_scarce_service = False
+            return
+        share = min(counts) / total
+        if share < _SCARCE_SHARE:
+            self._has_scarce_service = True
+        elif share > _NOT_SCARCE_SHARE:
+            self._has_scarce_service = False
+
+    @property
+    def has_scarce_service(self) -> bool:
+        """Whether a service has few servers for the size of the system."""
+        return self._has_scarce_service
+
     @property
-    def has_paces(self) -> bool:
-        """Whether any guard has reported the pace of its backend server.
+    def balances_load(self) -> bool:
+        """Whether guards are also chosen by their load.
 
-        Only then are loads and speeds of guards known well enough to balance by
-        them, in place of the probability of an answer in time alone.
+        Elsewhere, the probability of an answer in time decides alone, since the
+        load of a service with many servers hardly differs between them.
         """
-        return self._has_paces
+        return self._has_paces or self._has_scarce_service
 
     def load_at_s(self, node_id: str) -> float | None:
         """Returns when a guard last reported its load; None if never."""
--- a/packages/burdockfront/src/burdockfront/policy.py
+++ b/packages/burdockfront/src/burdockfront/policy.py
@@ -71,8 +71,8 @@
             guards several layers from the entries), `demand` (the same from an
             estimate of the whole demand), `limit` (concurrency limit with a
             queue, first come first served) or `none`.
-        reported_kind: Kind in force while the backend server reports its load
-            with the slowdown of its machine; None for the same kind.
+        scarce_kind: Kind in force in a system with a scarce service, one that
+            has few servers for the size of the system; None for the same kind.
         queue_s: Maximum wait for a slot.
         ramp_s: Time from a cold start to full use of the slots.
     """
@@ -80,7 +80,7 @@
     kind: str
     queue_s: float
     ramp_s: float
-    reported_kind: str | None = None
+    scarce_kind: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +133,7 @@
 
 class _AdmissionModel(_Model):
     kind: _AdmissionKind = "level"
-    reported_kind: _AdmissionKind | None = None
+    scarce_kind: _AdmissionKind | None = None
     queue_s: float = pydantic.Field(default=0.25, gt=0.0, le=10.0)
     ramp_s: float = pydantic.Field(default=3.0, ge=0.0, le=600.0)
 
--- a/packages/burdockfront/src/burdockfront/routing.py
+++ b/packages/burdockfront/src/burdockfront/routing.py
@@ -158,12 +158,12 @@
         transfer_kb = self.estimates.kb_of(service, class_name)
         price = transfer_kb / _KB_PER_ANSWER
         if gain > max(_MIN_GAIN, price):
-            if not self.has_paces:
+            if not self.balances_load:
                 return other
             if self._fails_more(best, other, now_s):
                 return other
             return other if self._has_room(best, other, now_s) else best
-        gives_way = self.has_paces and gain >= -_MIN_GAIN
+        gives_way = self.balances_load and gain >= -_MIN_GAIN
         if gives_way and self._gives_way(best, other, price, now_s):
             return other
         loses_answers = gain < -_MAX_LOSS
@@ -338,7 +338,7 @@
             return first, one
         if gain < -_MIN_GAIN:
             return second, other
-        if self.has_paces:
+        if self.balances_load:
             is_first = self._is_sooner(first, second, now_s)
         else:
             is_first = self.score(first, now_s) <= self.score(second, now_s)
--- a/tests/unit/test_service_levels.py
+++ b/tests/unit/test_service_levels.py
@@ -5,7 +5,9 @@
 import pytest
 
 from burdockfront import levels
+from burdockfront import routing
 from burdockfront import service_levels
+from tests import builders
 
 _NODES = 70
 _ANSWERS_PER_S = 50
@@ -105,3 +107,35 @@
     assert tracker.level_of("catalogue", "other", 1.3) == levels.OPEN
     tracker.services.record("fees", levels.OPEN, 1.4)
     assert tracker.level_of("catalogue", "browse", 1.4) == levels.OPEN
+
+
+def _router(counts: dict[str, int]) -> routing.Router:
+    router = routing.Router("dc1", random.Random(1))
+    _update(router, counts)
+    return router
+
+
+def _update(router: routing.Router, counts: dict[str, int]) -> None:
+    router.update(
+        builders.a_target(f"{service}-{number}", service=service)
+        for service, count in counts.items()
+        for number in range(count)
+    )
+
+
+def test_service_with_few_servers_for_the_size_of_the_system_is_scarce():
+    assert _router({"fees": 4, "catalogue": 30, "ledger": 30}).balances_load
+    even = _router({"fees": 15, "catalogue": 23, "ledger": 29})
+    assert not even.has_scarce_service
+    small = _router({"fees": 1, "catalogue": 10, "ledger": 10})
+    assert not small.has_scarce_service
+
+
+def test_scarcity_does_not_flip_when_some_nodes_are_lost():
+    # Failure: guards changed their kind of admission, and forgot the demand,
+    # each time that a few nodes were suspected.
+    router = _router({"fees": 4, "catalogue": 30, "ledger": 30})
+    _update(router, {"fees": 4, "catalogue": 20, "ledger": 20})
+    assert router.has_scarce_service
+    _update(router, {"fees": 8, "catalogue": 20, "ledger": 20})
+    assert not router.has_scarce_service
