Mend what a first reader of the parts found

A reader who had not written them read the whole diff. Mended, with tests where behaviour changes: the old demand of a rank that was cut for long came back with its first call; accounts stayed named after a change of the kind of admission; merged reports of accounts took the age of the newest one; one short wait limited the promises of its rank for as long as anybody was refused; levels of services were never removed; waits of refused calls counted as slot time above, and waits of parallel calls could exceed the time of their request; a slot was returned after code that can fail; a scarce service changed the kind of admission at once, also for members suspected for a moment, and in systems without scarce_kind; queue_s and ages of levels on answers were not checked. retry_after is `target` by default, as before.

--- a/packages/burdockfront-client/src/burdockfront_client/wire.py
+++ b/packages/burdockfront-client/src/burdockfront_client/wire.py
@@ -328,7 +328,7 @@
             unspent=parts[4],
             level=parts[5],
             moved_to=parts[6],
-            queue_s=parts[7],
+            queue_s=parts[7] + 0.0,
             load=parts[8],
             draining=parts[9],
             starved=parts[11],
@@ -366,7 +366,9 @@
         answer.over_share_age_s = _positive(age_s) if age_s else 0.0
     answer.bottleneck = str(state.get(_BOTTLENECK, ""))
     answer.service_levels = [
-        service_levels.ServiceLevel(str(service), int(level), abs(float(age_s)))
+        service_levels.ServiceLevel(
+            str(service), int(level), _positive(age_s) if age_s else 0.0
+        )
         for service, level, age_s in state.get(_SERVICE_LEVELS, ())
     ]
 
--- a/packages/burdockfront-node/src/burdockfront_node/account_shares.py
+++ b/packages/burdockfront-node/src/burdockfront_node/account_shares.py
@@ -67,8 +67,8 @@
         below = self.tracker.over_share_below(class_name, now_s)
         if below is not None:
             ratios, at_s = below
-            # With the age of the older report, no report outlives its
-            # lifetime by being merged into a newer one.
+            # The age of the report from below, so that it does not outlive its
+            # lifetime by being passed on. This guard's own report has no age.
             age_s = now_s - at_s
             named = self._merged(named, ratios) if named else ratios
         if named:
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -84,9 +84,14 @@
             served = answer is not None and answer.reason is None
             class_name = attempt.context.class_name if served else ""
             waited_below_s = 0.0
-            if self._lineage is not None:
-                waited_below_s = self._lineage.on_run_end(attempt, ended_s)
-            gate.leave(service_s, class_name, waited_below_s)
+            try:
+                if self._lineage is not None:
+                    waited_below_s = self._lineage.on_run_end(attempt, ended_s)
+            finally:
+                # The waits of calls made at the same time add up to more.
+                if waited_below_s > service_s:
+                    waited_below_s = service_s
+                gate.leave(service_s, class_name, waited_below_s)
         answer.queue_s = started_s - attempt.arrived_s + waited_below_s
         if self._lineage is not None:
             answer = self._lineage.on_run_answer(attempt, started_s, answer)
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -210,7 +210,7 @@
         shares = self._shares
         if shares is None or not self._resolver.accounts.in_use:
             return False
-        return shares.is_active()
+        return shares.tags_calls()
 
     def _forwarded_headers(
         self, headers: tuple[tuple[str, str], ...]
--- a/packages/burdockfront-node/src/burdockfront_node/gate.py
+++ b/packages/burdockfront-node/src/burdockfront_node/gate.py
@@ -205,6 +205,10 @@
         fresh.in_use = self._admission.in_use
         fresh.service = self._service
         fresh.shares = self._shares
+        if self._shares is not None:
+            # Only some kinds update it; another one would name the same
+            # accounts for good.
+            self._shares.reset()
         self._admission = fresh
         for attempt_id, waiting in list(self._waiting.items()):
             if not waiting.settled.done():
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -43,6 +43,8 @@
 _TICK_S = 0.02
 # Interval between ticks while no calls wait or are refused.
 _IDLE_TICK_S = 0.5
+# Members are suspected wrongly for a second or two at most.
+_SCARCITY_HOLD_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,6 +142,8 @@
         self._gate: gate_lib.Gate | None = None
         self._pressure = asyncio.Event()
         self._recorded_level = levels.OPEN
+        self._is_scarce = False
+        self._scarce_since_s = time.monotonic()
 
     @property
     def announcement(self) -> backend_lib.Announcement | None:
@@ -306,7 +310,7 @@
                 self._tick(self._gate)
 
     def _tick(self, gate: gate_lib.Gate) -> None:
-        gate.set_scarce(self._dispatcher.router.has_scarce_service)
+        self._update_scarcity(gate)
         gate.tick()
         if self._shares is not None:
             self._shares.log_change(time.monotonic())
@@ -328,6 +332,20 @@
                 slots=gate.slots,
             )
 
+    def _update_scarcity(self, gate: gate_lib.Gate) -> None:
+        """Tells the gate of a scarce service, once that has been so for a time.
+
+        A change discards what the admission has learned of the demand, so it
+        must not follow from members that are suspected for a moment.
+        """
+        is_scarce = self._dispatcher.router.has_scarce_service
+        now_s = time.monotonic()
+        if is_scarce is not self._is_scarce:
+            self._is_scarce = is_scarce
+            self._scarce_since_s = now_s
+        if now_s - self._scarce_since_s >= _SCARCITY_HOLD_S:
+            gate.set_scarce(is_scarce)
+
     async def _wait_for_pressure(self) -> None:
         try:
             async with asyncio.timeout(_IDLE_TICK_S):
@@ -439,7 +457,8 @@
             **self._share_detail(context),
         )
         unspent = attempt.context.allowance
-        return dataclasses.replace(refusal, unspent=unspent)
+        # A call that waits in vain holds the slot of its request, too.
+        return dataclasses.replace(refusal, unspent=unspent, queue_s=waited_s)
 
     def _share_detail(
         self, context: context_lib.RequestContext
--- a/packages/burdockfront-node/src/burdockfront_node/lineage.py
+++ b/packages/burdockfront-node/src/burdockfront_node/lineage.py
@@ -140,7 +140,7 @@
         now_s = time.monotonic()
         class_name = call.context.class_name
         parent = call.context.parent
-        if answer.queue_s and parent in self._waited_s:
+        if answer.queue_s > 0.0 and parent in self._waited_s:
             self._waited_s[parent] += answer.queue_s
         self._new_work.discard(class_name)
         self._transfer_costs.record_call_of(
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -194,6 +194,10 @@
         return self._routed.retry_slack / 2 / nodes
 
     def _update_router(self) -> None:
+        rules = self._exchange.configuration.policy_of(self._routed.service)
+        self._dispatcher.router.detects_scarcity = (
+            rules.admission.scarce_kind is not None
+        )
         super()._update_router()
         self._dispatcher.set_retry_burst(self._retry_burst())
         self._select_watchers()
@@ -241,7 +245,7 @@
             def has_scarce_service() -> bool:
                 return router.has_scarce_service
 
-            self._dispatcher.share_tracker.is_active = has_scarce_service
+            self._dispatcher.share_tracker.tags_calls = has_scarce_service
             self._shares = account_shares_lib.AccountShares(
                 self._resolver,
                 self._dispatcher.share_tracker,
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -117,7 +117,7 @@
     load_reports: pydantic.StrictBool = True
     fair_shares: pydantic.StrictBool = True
     early_refusals: bool = True
-    retry_after: Literal["forecast", "target"] = "forecast"
+    retry_after: Literal["forecast", "target"] = "target"
     level_relax_after_s: float = pydantic.Field(
         default=levels.RELAX_AFTER_S, ge=0.1, le=10.0
     )
--- a/packages/burdockfront/src/burdockfront/context.py
+++ b/packages/burdockfront/src/burdockfront/context.py
@@ -137,8 +137,8 @@
     ]
     is_limited = context.admitted_share < 1.0
     if context.account_tag or is_limited:
-        # Nodes of earlier releases do not read these parts, so they are sent
-        # only where accounts compete or a service limits what is admitted.
+        # Nodes of earlier releases fail on more than ten parts, so these are
+        # sent only where accounts compete or a service limits what is admitted.
         parts.append(context.account_tag)
     if is_limited:
         parts += [round(context.admitted_share, 3), context.limited_by]
--- a/packages/burdockfront/src/burdockfront/demand_level.py
+++ b/packages/burdockfront/src/burdockfront/demand_level.py
@@ -9,7 +9,7 @@
 
 Each call carries the share of its rank's requests that was admitted when its
 request entered the system. A call that was admitted with a share of a quarter
-stands for four requests that asked. The sum of the work of all arriving calls,
+stands for four requests that asked. The sum of the work of all admitted calls,
 each divided by that share, is an unbiased estimate of the whole demand,
 regardless of the delay (the Horvitz-Thompson estimator).
 
@@ -43,7 +43,7 @@
 # hold their slots while deeper calls wait, the queue is no measure of the work.
 _MAX_RESERVED = 0.5
 # Some requests are always admitted: without them there would be no estimate.
-_MIN_SHARE = 0.03
+_MIN_SHARE = levels.MIN_ADMITTED_SHARE
 # Demand, relative to the capacity, below which a rank is not worth cutting.
 _MIN_DEMAND = 0.05
 
@@ -125,7 +125,7 @@
         known = self._demand.get(rank, 0.0)
         if not asked and self._level < rank * context.ORDINALS:
             decay = math.exp(-elapsed_s / _UNOBSERVED_FALL_S)
-            self._demand[rank] = known * decay
+            self._demand[rank] = self._smoothed[rank] = known * decay
             return
         weight = 1.0 - math.exp(-elapsed_s / _SMOOTHING_S)
         smoothed = self._smoothed.get(rank, 0.0)
--- a/packages/burdockfront/src/burdockfront/fair_shares.py
+++ b/packages/burdockfront/src/burdockfront/fair_shares.py
@@ -256,7 +256,7 @@
             now_s: The current time.
         """
         if level >= levels.OPEN or not self._in_use():
-            self._reset()
+            self.reset()
             return
         if not self.active:
             self.active = True
@@ -283,7 +283,8 @@
         wanted = max(1, _CALLS_PER_ACCOUNT * accounts)
         return min(_MAX_DECAY, max(_MIN_DECAY, 1.0 - self._calls / wanted))
 
-    def _reset(self) -> None:
+    def reset(self) -> None:
+        """Forgets all work and names no account."""
         if not self.active:
             return
         self.active = False
@@ -391,12 +392,12 @@
     Attributes:
         any_named: Whether there are reports, which may have expired.
         applied: Number of requests whose account was above its share.
-        is_active: Returns whether calls carry tags of accounts. Defaults to
+        tags_calls: Returns whether calls carry tags of accounts. Defaults to
             always.
     """
 
     def __init__(self, level_tracker: levels.LevelTracker):
-        self.is_active: Callable[[], bool] = lambda: True
+        self.tags_calls: Callable[[], bool] = lambda: True
         self.any_named = False
         self.applied = 0
         self._level_tracker = level_tracker
@@ -511,12 +512,12 @@
 
     def _merge(self, class_name: str, now_s: float) -> _Report | None:
         ratios: dict[str, float] = {}
-        at_s = -math.inf
+        at_s = math.inf
         for key in self._level_tracker.calls_of(class_name, now_s):
             report = self._reports.get(key)
             if report is None or now_s - report.at_s >= REPORT_LIFETIME_S:
                 continue
-            at_s = max(at_s, report.at_s)
+            at_s = min(at_s, report.at_s)
             for tag, ratio in report.ratios.items():
                 ratios[tag] = max(ratios.get(tag, 0.0), ratio)
         return _Report(largest(ratios), at_s) if ratios else None
--- a/packages/burdockfront/src/burdockfront/guards.py
+++ b/packages/burdockfront/src/burdockfront/guards.py
@@ -149,6 +149,10 @@
     Args:
         data_center: Data centre of this router.
         rng: Source of randomness.
+
+    Attributes:
+        detects_scarcity: Whether a scarce service changes how guards are
+            chosen.
     """
 
     def __init__(self, data_center: str, rng: random.Random):
@@ -157,6 +161,7 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._states: dict[str, _State] = {}
         self._candidates: dict[str, Candidates] = {}
+        self.detects_scarcity = False
         self._has_paces = False
         self._has_scarce_service = False
         # Guards that reported an unusual pace last.
@@ -174,6 +179,9 @@
                 self.forget(target.node_id)
         self._targets = by_service
         self._find_scarce_service()
+        self._has_paces = any(
+            state.pace_at_s > _NEVER_S for state in self._states.values()
+        )
         self._candidates.clear()
         known = {name for group in by_service.values() for name in group}
         for node_id in list(self._states):
@@ -445,6 +453,8 @@
         return max(state.load, state.in_flight / slots) + 1 / slots
 
     def _find_scarce_service(self) -> None:
+        if not self.detects_scarcity:
+            return
         counts = [len(group) for group in self._targets.values()]
         total = sum(counts)
         if total < _MIN_GUARDS:
--- a/packages/burdockfront/src/burdockfront/levels.py
+++ b/packages/burdockfront/src/burdockfront/levels.py
@@ -61,7 +61,7 @@
 _MIN_OPEN_STEP = 16
 # Smallest admitted share that is told with a request: its inverse weighs the
 # request in estimates of the demand.
-_MIN_ADMITTED_SHARE = 0.03
+MIN_ADMITTED_SHARE = 0.03
 # Levels reach an entry with a delay. It refuses only what is clearly above the
 # level and leaves the boundary to the guard, which knows its exact level.
 ENTRY_SLACK = 64
@@ -70,7 +70,7 @@
 def admitted_share(level: int, rank: int) -> float:
     """Returns the share of a rank's requests that a level admits."""
     share = (level + 1) / context.ORDINALS - rank
-    return max(_MIN_ADMITTED_SHARE, min(1.0, share))
+    return max(MIN_ADMITTED_SHARE, min(1.0, share))
 
 
 class LevelControl:
@@ -211,8 +211,9 @@
     """Levels received from guards of other services, by service and class.
 
     Attributes:
+        services: Latest levels of short services.
         relax_after_s: Time without news after which a level rises.
-        relax_per_s: How fast it rises then.
+        relax_per_s: How fast it rises then, in priority numbers per second.
     """
 
     def __init__(self) -> None:
@@ -334,6 +335,7 @@
 
     def remove_expired(self, now_s: float) -> None:
         """Removes levels and call records older than the expiry time."""
+        self.services.remove_expired(now_s)
         self._received = {
             key: received
             for key, received in self._received.items()
--- a/packages/burdockfront/src/burdockfront/quota_allocator.py
+++ b/packages/burdockfront/src/burdockfront/quota_allocator.py
@@ -46,15 +46,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Refusal:
-    """A refusal for want of tokens.
+    """Recent refusals of one rank for want of tokens.
 
     Attributes:
-        at_s: Monotonic time.
-        max_wait_s: Shortest wait of the requests refused about that time.
+        at_s: Monotonic time of the latest one.
+        max_wait_s: Shortest wait of the requests that were refused lately.
+        shortest_at_s: Monotonic time of the refusal of that request.
     """
 
     at_s: float
     max_wait_s: float
+    shortest_at_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,7 +70,7 @@
         scarce_since_s: Monotonic time since which the account is scarce.
         rate_per_s: Rate at which it was filled last.
         initial_share: Fraction of `Limit.initial` already added to the level.
-        refusals: The last refusal of each rank.
+        refusals: Recent refusals, by rank.
     """
 
     level: float
@@ -309,11 +311,15 @@
 ) -> None:
     if request.max_wait_s < _MIN_USUAL_WAIT_S:
         return
-    wait_s = request.max_wait_s
+    wait_s, shortest_at_s = request.max_wait_s, now_s
     known = bucket.refusals.get(request.rank)
-    if known is not None and now_s - known.at_s < _PREFER_S:
-        wait_s = min(wait_s, known.max_wait_s)
-    bucket.refusals[request.rank] = _Refusal(now_s, wait_s)
+    if (
+        known is not None
+        and known.max_wait_s < wait_s
+        and now_s - known.shortest_at_s < _PREFER_S
+    ):
+        wait_s, shortest_at_s = known.max_wait_s, known.shortest_at_s
+    bucket.refusals[request.rank] = _Refusal(now_s, wait_s, shortest_at_s)
 
 
 def _promised(
--- a/packages/burdockfront/src/burdockfront/service_levels.py
+++ b/packages/burdockfront/src/burdockfront/service_levels.py
@@ -8,8 +8,8 @@
 Every answer between two nodes therefore also carries the levels of the services
 that are short, with their age, whatever the answer is about. A node receives a
 hundred answers a second from random other nodes, so a level reaches all nodes
-within a few answers, at a few bytes each. Nothing is sent while no service is
-short.
+within a few answers, at a few bytes each. From a second after the last shortage
+on, nothing is sent.
 """
 
 import dataclasses
@@ -57,7 +57,7 @@
     """The levels of short services, as known to one node.
 
     Attributes:
-        any_known: Whether any service was short since the start.
+        any_known: Whether levels are stored, which may have expired.
     """
 
     def __init__(self) -> None:
@@ -100,6 +100,15 @@
             return context.OPEN_LEVEL
         return int(known.level)
 
+    def remove_expired(self, now_s: float) -> None:
+        """Removes levels that have expired."""
+        self._known = {
+            service: known
+            for service, known in self._known.items()
+            if now_s - known.at_s < _FRESH_S
+        }
+        self.any_known = bool(self._known)
+
     def short(self, now_s: float) -> list[ServiceLevel]:
         """Returns the services that are known to be short, for operators."""
         return [
--- a/tests/unit/test_demand_level.py
+++ b/tests/unit/test_demand_level.py
@@ -143,3 +143,22 @@
         admission.advance(now_s + 0.02)
     assert admission.busy() < 0.5
     assert admission.level() == levels.OPEN
+
+
+def test_estimate_of_a_rank_that_was_not_observed_does_not_return():
+    # Failure: the first call of a rank that was cut for long brought back the
+    # demand of before, and cut the rank again beside idle slots.
+    control = demand_level.DemandControl(_WINDOW_S, 0.0)
+    now_s = 0.0
+    for step in range(200):
+        now_s += _WINDOW_S
+        work_s = 10.0 if step < 30 else 0.0
+        control.record_arrival(0, _SLOTS * _WINDOW_S * 1.2, 1.0)
+        if work_s:
+            control.record_arrival(_RANK * context.ORDINALS, work_s, 1.0)
+        control.advance(_SLOTS, 0.0, now_s)
+    for _ in range(40):
+        now_s += _WINDOW_S
+        control.record_arrival(_RANK * context.ORDINALS, 0.01, 1.0)
+        control.advance(_SLOTS, 0.0, now_s)
+    assert control.level == levels.OPEN
--- a/tests/unit/test_service_levels.py
+++ b/tests/unit/test_service_levels.py
@@ -111,6 +111,7 @@
 
 def _router(counts: dict[str, int]) -> routing.Router:
     router = routing.Router("dc1", random.Random(1))
+    router.detects_scarcity = True
     _update(router, counts)
     return router
 
@@ -139,3 +140,13 @@
     assert router.has_scarce_service
     _update(router, {"fees": 8, "catalogue": 20, "ledger": 20})
     assert not router.has_scarce_service
+
+
+def test_expired_levels_are_removed():
+    # Failure: after one shortage every answer paid for levels of long ago.
+    tracker = levels.LevelTracker()
+    tracker.services.record("fees", 600, 1.0)
+    tracker.remove_expired(1.5)
+    assert tracker.services.any_known
+    tracker.remove_expired(2.1)
+    assert not tracker.services.any_known
