Send levels of short services fifty times a second at most

Change: a node sends them with an answer every 20 ms, as often as in the model that shows how they spread. Test of the rate.

--- a/packages/burdockfront/src/burdockfront/service_levels.py
+++ b/packages/burdockfront/src/burdockfront/service_levels.py
@@ -13,6 +13,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from burdockfront import context
@@ -22,6 +23,9 @@
 # How long after its last shortage the level of a service is sent, so that all
 # nodes hear of its end.
 _SENT_OPEN_S = 1.0
+# The guard of a short service may give a thousand answers a second. Levels on a
+# part of them are as fresh, and cost little.
+_SEND_INTERVAL_S = 0.02
 # The guards of a service have slightly different levels. Within this time a
 # node adopts the mean of what it hears.
 _MERGE_S = 0.1
@@ -62,6 +66,7 @@
 
     def __init__(self) -> None:
         self.any_known = False
+        self._sent_at_s = -math.inf
         self._known: dict[str, _Known] = {}
 
     def record(self, service: str, level: int, at_s: float) -> None:
@@ -118,9 +123,13 @@
         ]
 
     def to_send(self, now_s: float) -> list[ServiceLevel]:
-        """Returns the levels to send with an answer, shortest service first."""
-        if not self._known:
+        """Returns the levels to send with an answer, shortest service first.
+
+        Empty if levels were sent a moment ago.
+        """
+        if now_s - self._sent_at_s < _SEND_INTERVAL_S:
             return []
+        self._sent_at_s = now_s
         found = [
             ServiceLevel(service, int(known.level), now_s - known.at_s)
             for service, known in self._known.items()
--- a/tests/unit/test_service_levels.py
+++ b/tests/unit/test_service_levels.py
@@ -150,3 +150,12 @@
     assert tracker.services.any_known
     tracker.remove_expired(2.1)
     assert not tracker.services.any_known
+
+
+def test_levels_are_not_sent_with_each_of_many_answers():
+    # Failure: the guard of a short service spent its processor time on telling
+    # its level a thousand times a second.
+    node = service_levels.ServiceLevels()
+    node.record("fees", 600, 10.0)
+    sent = [node.to_send(10.0 + step / 1000.0) for step in range(500)]
+    assert 20 <= sum(bool(levels_sent) for levels_sent in sent) <= 26
