--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -11,11 +11,13 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
+import traceback
 
 from http_standin import ClientConnection, HttpServer, Response
 from platform_standin import Process, Store
@@ -258,6 +260,7 @@
             await machine.node.close()
             await machine.upstream.close()
         await self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def is_ready(self, machine):
         connection = ClientConnection(f"{machine.ip}:8302")
@@ -384,8 +387,6 @@
     except asyncio.CancelledError:
         sys.exit(2)
     except Exception as error:  # a fault of the case itself, not of the rule
-        import traceback
-
         traceback.print_exc()
         record(what="could not run", why=repr(error))
         sys.exit(2)
