Count and log answers of a backend server that belong to no pending request

Cause: a connection dropped late and additional answers without a trace.

Change: Connection reports each answer, or bytes, that it drops. The routed hand-over counts them and records backend.answer-discarded with the id that the answer names. The native hand-over counts the mixed-up answers that it refuses. Counter guard.answers_discarded. No decision changes.

Unit tests and the tests of headers and load reports pass.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -99,9 +99,11 @@
 
     Attributes:
         is_there: Whether the process still runs.
+        answers_discarded: Always 0; modelled servers do not mix up answers.
     """
 
     def __init__(self, server: servers_lib.ModelServer):
+        self.answers_discarded = 0
         self.is_there = True
         self._server = server
 
--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -75,15 +75,23 @@
 class Connection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
+    Args:
+        on_discarded: Called with each answer that belongs to no pending
+            request, and with None for bytes that arrive while no request is
+            pending.
+
     Attributes:
         idle_since_s: Event loop time at which the last answer ended.
         keep_alive_s: Idle timeout from the last Keep-Alive header of the
             server; None if the last answer had none.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_discarded: Callable[[RawAnswer | None], None] | None = None
+    ) -> None:
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
+        self._on_discarded = on_discarded
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -105,6 +113,8 @@
         """Parses received bytes."""
         if self._pending is None:
             # No request is pending, so these bytes belong to none.
+            if not self._closed:
+                self._discard(None)
             self.close()
             return
         if not self._headers_done:
@@ -182,12 +192,12 @@
         )
         pending = self._pending
         if pending is None or pending.answer.done():
-            self._reusable = False
+            self._discard(answer)
             return
         if not pending.is_own(answer):
             # The late answer to an earlier request; the answer to the pending
             # one may still follow.
-            self._reusable = False
+            self._discard(answer)
             return
         self.keep_alive_s = _keep_alive_of(answer)
         pending.answer.set_result(answer)
@@ -268,6 +278,12 @@
         self._body_bytes = 0
         self._message_done = False
 
+    def _discard(self, answer: RawAnswer | None) -> None:
+        """Drops an answer, or bytes, and stops the reuse of the connection."""
+        self._reusable = False
+        if self._on_discarded is not None:
+            self._on_discarded(answer)
+
     def _fail_by_head_size(self) -> None:
         self._fail(f"sent more than {_MAX_HEADERS_BYTES} bytes of headers")
 
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -53,13 +53,21 @@
     Args:
         address: `ip:port`.
         reuse: Limits on the reuse of connections.
+        on_discarded: See `connection.Connection`.
 
     Attributes:
         opened: Number of connections opened so far.
     """
 
-    def __init__(self, address: str, reuse: Reuse = _TO_BACKEND_SERVERS):
+    def __init__(
+        self,
+        address: str,
+        reuse: Reuse = _TO_BACKEND_SERVERS,
+        on_discarded: Callable[[connection_lib.RawAnswer | None], None]
+        | None = None,
+    ):
         self._reuse = reuse
+        self._on_discarded = on_discarded
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
@@ -155,7 +163,7 @@
         try:
             async with asyncio.timeout(min(timeout_s, self._reuse.connect_s)):
                 transport, connection = await loop.create_connection(
-                    connection_lib.Connection,
+                    lambda: connection_lib.Connection(self._on_discarded),
                     self._host,
                     self._port,
                     local_addr=(source_ip, 0) if source_ip else None,
--- a/packages/burdockfront-node/src/burdockfront_node/adapters.py
+++ b/packages/burdockfront-node/src/burdockfront_node/adapters.py
@@ -136,6 +136,9 @@
     def to_backend(self, terms: BackendTerms) -> Headers:
         """Returns the headers that carry these terms to a backend server."""
 
+    def request_id_of(self, answer: connection.RawAnswer) -> str | None:
+        """Returns the id of the request that an answer names; None if none."""
+
     def is_own(self, answer: connection.RawAnswer, request_id: str) -> bool:
         """Whether an answer belongs to the request with this id."""
 
--- a/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/backend_runs.py
@@ -59,6 +59,11 @@
         self._reports = reports
         self._refusals_lower_slots = refusals_lower_slots
 
+    @property
+    def answers_discarded(self) -> int:
+        """Number of answers so far that belonged to no pending request."""
+        return self._handover.answers_discarded
+
     async def run(
         self, attempt: calls.Attempt, nonce: str | None
     ) -> outcomes.Answer:
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -181,6 +181,7 @@
         """Returns the counters since the start of this process."""
         return {
             "handed_over": self._runs.handed_over,
+            "answers_discarded": self._runs.answers_discarded,
             **dataclasses.asdict(self._counters),
             "backend_crashes": self._quarantine.crash_detector.crashes,
             "load_reports_ignored": self._server_load.ignored
--- a/packages/burdockfront-node/src/burdockfront_node/handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -20,7 +20,14 @@
 
 
 class Handover(Protocol):
-    """Transport from a guard to its backend server."""
+    """Transport from a guard to its backend server.
+
+    Attributes:
+        answers_discarded: Number of answers so far that belonged to no request
+            that was pending on their connection.
+    """
+
+    answers_discarded: int
 
     async def run(
         self,
@@ -47,6 +54,7 @@
         keys: keyring_lib.KeyRing,
         attempts: attempts_lib.AttemptTracker,
     ):
+        self.answers_discarded = 0
         self._peers = peers
         self._keys = keys
         self._attempts = attempts
@@ -80,7 +88,10 @@
             self._attempts.end(attempt.context.attempt_id)
         unspent = opened.pool.units
         if reply is not None:
-            return _answer_of(announced, attempt, reply, unspent)
+            if _is_mixed_up(attempt, reply):
+                self.answers_discarded += 1
+                return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
+            return _answer_of(announced, reply, unspent)
         if unreachable:
             return outcomes.not_run(
                 outcomes.Reason.UNREACHABLE, admission.RETRY_AFTER_S, unspent
@@ -116,17 +127,21 @@
         return headers
 
 
+def _is_mixed_up(attempt: calls.Attempt, reply: peers_lib.Reply) -> bool:
+    """Returns whether a reply names another attempt.
+
+    The backend server has then mixed up its answers: this one belongs to
+    another caller and must not reach this one.
+    """
+    echoed = reply.header(wire.ATTEMPT)
+    return echoed is not None and echoed != attempt.context.attempt_id
+
+
 def _answer_of(
     announced: backend_lib.Announcement,
-    attempt: calls.Attempt,
     reply: peers_lib.Reply,
     unspent: int,
 ) -> outcomes.Answer:
-    echoed = reply.header(wire.ATTEMPT)
-    if echoed is not None and echoed != attempt.context.attempt_id:
-        # The backend server has mixed up its answers: this one belongs to
-        # another caller and must not reach this one.
-        return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
     if announced.embedded:
         unspent = int(reply.header(wire.UNSPENT) or 0)
     notice = _notice_of(reply)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -223,6 +223,7 @@
             self._adapter.dialect,
             self._incarnations,
             self._attempts,
+            self._recorder,
             self._backend_load,
         )
 
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -11,6 +11,7 @@
 from burdockfront import admission
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import outcomes
+from burdockfront import timeline
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
 from burdockfront_client import connection as connection_lib
@@ -33,8 +34,12 @@
         dialect: The header conventions of the backend server.
         incarnations: Tracks which incarnation is in service.
         attempts: Open attempts, to find the parents of downstream calls.
+        recorder: Records discarded answers.
         backend_load: Receives the load reports on answers; None to ignore
             them.
+
+    Attributes:
+        answers_discarded: See `handover.Handover`.
     """
 
     def __init__(
@@ -42,8 +47,11 @@
         dialect: adapters.Dialect,
         incarnations: incarnations_lib.IncarnationTracker,
         attempts: attempts_lib.AttemptTracker,
+        recorder: timeline.Recorder,
         backend_load: backend_load_lib.BackendLoad | None = None,
     ):
+        self.answers_discarded = 0
+        self._recorder = recorder
         self._backend_load = backend_load
         self._dialect = dialect
         self._incarnations = incarnations
@@ -116,12 +124,24 @@
         if self._pool is None or known != wanted:
             if self._pool is not None:
                 self._pool.close_idle()
-            self._pool = pool_lib.Pool(address)
+            self._pool = pool_lib.Pool(address, on_discarded=self._on_discarded)
             self._address = address
             self._instance_id = current.instance_id
             self._born_ms = current.born_ms
         return self._pool
 
+    def _on_discarded(self, answer: connection_lib.RawAnswer | None) -> None:
+        """Counts and records an answer that belongs to no pending request."""
+        self.answers_discarded += 1
+        if answer is None:
+            named, status = "", 0
+        else:
+            named = self._dialect.request_id_of(answer) or ""
+            status = answer.status
+        self._recorder.record(
+            time.time(), "backend.answer-discarded", named, status=status
+        )
+
     def _encode(self, call: calls.Call, terms: adapters.BackendTerms) -> bytes:
         """Returns the encoded request with the headers of this attempt."""
         headers = (*call.headers, *self._dialect.to_backend(terms))
--- a/tests/unit/test_routed_guard.py
+++ b/tests/unit/test_routed_guard.py
@@ -34,6 +34,7 @@
 
     def __init__(self) -> None:
         self.answer = builders.an_answer()
+        self.answers_discarded = 0
         self.handed: list[str] = []
         self.free = asyncio.Event()
         self.free.set()
