Do not repeat a request on a connection on which it failed

What callers saw: a confirmation ran twice, or got 503 ("not run") although it ran, while an upstream rejected part of its requests and sent some of its answers a second time.

Cause: after a rejection the node sends the confirmation again under the same Request-Id, and the pool gave the repeat the connection that was used last, the one that had carried the rejection. An upstream may send an answer again when the next request on that connection has arrived. The second copy bears the id of the repeat, so the id check accepted it while the upstream ran the repeat. The node then sent the confirmation once more, or refused it.

Change: each connection keeps the ids of the requests that were answered with an error on it, and the pool gives a repeat another connection. A connection with 64 such ids is closed, as is each connection that can't be reused, which stayed open until the server closed it.

Why this is enough: a copy can only arrive on the connection that carried the attempt. There it now meets no request, or one with another id, and is discarded. Nothing is forgotten while the connection is open, and no clock decides. An answer below 400 is final, so no repeat follows it.

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -24,6 +24,10 @@
 
 _MAX_HEADERS_BYTES = 65_536
 _NO_BODY = (204, 304)
+_FIRST_ERROR_STATUS = 400
+# A connection that has answered this many requests with errors is not reused,
+# which bounds the ids that it holds.
+MAX_FAILED_REQUESTS = 64
 
 
 class NotSentError(errors.DispatchError):
@@ -84,6 +88,10 @@
         idle_since_s: Event loop time at which the last answer ended.
         keep_alive_s: Idle timeout from the last Keep-Alive header of the
             server; None if the last answer had none.
+        failed_requests: Ids of the requests that were answered with an error
+            here. A repeat under the same id must use another connection: the
+            server may send that error a second time, when the next request has
+            arrived, and the id would not tell it from the answer to the repeat.
     """
 
     def __init__(
@@ -91,6 +99,7 @@
     ) -> None:
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
+        self.failed_requests: set[str] = set()
         self._on_discarded = on_discarded
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -215,6 +224,7 @@
         is_own: Callable[[RawAnswer], bool],
         limit_bytes: int,
         timeout_s: float,
+        request_id: str = "",
     ) -> RawAnswer:
         """Sends a request and waits for its answer.
 
@@ -226,6 +236,8 @@
             is_own: Returns whether an answer belongs to this request.
             limit_bytes: Maximum size of the answer's body.
             timeout_s: Time limit for receiving the complete answer.
+            request_id: The id that `is_own` compares, if repeats of the request
+                bear the same one.
 
         Raises:
             NotSentError: The connection was already closed or in use.
@@ -257,6 +269,8 @@
             pending.timer.cancel()
             self._pending = None
         self.idle_since_s = loop.time()
+        if request_id and answer.status >= _FIRST_ERROR_STATUS:
+            self._record_failed(request_id)
         if self._transport.get_write_buffer_size() > 0:
             # The server answered before it had received the whole request. It
             # would parse the rest of the body as the start of the next request.
@@ -278,6 +292,11 @@
         self._body_bytes = 0
         self._message_done = False
 
+    def _record_failed(self, request_id: str) -> None:
+        self.failed_requests.add(request_id)
+        if len(self.failed_requests) >= MAX_FAILED_REQUESTS:
+            self._reusable = False
+
     def _discard(self, answer: RawAnswer | None) -> None:
         """Drops an answer, or bytes, and stops the reuse of the connection."""
         self._reusable = False
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -5,6 +5,9 @@
 idle for long at any moment. A request sent on it then is lost, and it is
 unknown whether it ran. Hence only requests that can be repeated use such a
 connection.
+
+A request that failed is not sent again on the connection that carried it. See
+`connection.Connection.failed_requests`.
 """
 
 import asyncio
@@ -82,6 +85,7 @@
         limit_bytes: int,
         fresh: bool,
         timeout_s: float,
+        request_id: str = "",
     ) -> connection_lib.RawAnswer:
         """Sends a request on an idle or a new connection.
 
@@ -92,6 +96,8 @@
             fresh: Whether to avoid connections that were idle for long.
             timeout_s: Time limit for connecting and receiving the complete
                 answer.
+            request_id: The id that `is_own` compares, if repeats of the request
+                bear the same one.
 
         Raises:
             NotSentError: No connection could be opened within the timeout.
@@ -101,7 +107,7 @@
             AnswerLostError: The request was sent, but no complete answer
                 arrived.
         """
-        connection = self._pop_idle(fresh)
+        connection = self._pop_idle(fresh, request_id)
         if connection is None:
             started_s = time.monotonic()
             connection = await self._open(timeout_s)
@@ -115,9 +121,12 @@
                     f"over when the connection was open; nothing was sent."
                 )
         answer = await connection.exchange(
-            request, is_own, limit_bytes, timeout_s
+            request, is_own, limit_bytes, timeout_s, request_id
         )
         if not connection.usable:
+            # Otherwise it would count toward the connections that the server
+            # accepts until the server closes it.
+            connection.close()
             return answer
         if self._retired:
             connection.close()
@@ -139,12 +148,20 @@
         self._retired = True
         self.close_idle()
 
-    def _pop_idle(self, fresh: bool) -> connection_lib.Connection | None:
+    def _pop_idle(
+        self, fresh: bool, request_id: str
+    ) -> connection_lib.Connection | None:
+        """Takes the most recently used connection that suits a request."""
         now_s = asyncio.get_running_loop().time()
-        while self._idle:
+        avoided = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
             if not connection.usable:
                 continue
+            if request_id in connection.failed_requests:
+                avoided.append(connection)
+                continue
             idle_s = now_s - connection.idle_since_s
             if fresh:
                 max_idle_s = self._reuse.fresh_s
@@ -153,9 +170,12 @@
             else:
                 max_idle_s = connection.keep_alive_s * _IDLE_SHARE
             if idle_s <= max_idle_s:
-                return connection
-            connection.close()
-        return None
+                found = connection
+            else:
+                connection.close()
+        if avoided:
+            self._idle.extend(reversed(avoided))
+        return found
 
     async def _open(self, timeout_s: float) -> connection_lib.Connection:
         loop = asyncio.get_running_loop()
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -100,6 +100,7 @@
                 limit_bytes,
                 fresh=not attempt.call.idempotent,
                 timeout_s=remaining_s + _DEADLINE_GRACE_S,
+                request_id=attempt.context.request_id,
             )
         except connection_lib.NotSentError:
             return outcomes.not_run(
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -31,10 +31,13 @@
         data: Bytes to send.
         then: What happens next: `keep`, `close` or `reset` the connection, or
             stop responding and leave it open (`hang`).
+        late: Bytes that precede the reaction to the next request on this
+            connection.
     """
 
     data: bytes
     then: str = "keep"
+    late: bytes = b""
 
 
 @asynccontextmanager
@@ -47,12 +50,14 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         scripted.connections += 1
+        late = b""
         try:
             while remaining:
                 head = await reader.readuntil(b"\r\n\r\n")
                 scripted.requests.append(head)
                 step = remaining.pop(0)
-                writer.write(step.data)
+                writer.write(late + step.data)
+                late = step.late
                 await writer.drain()
                 if step.then == "reset":
                     _reset(writer)
@@ -80,10 +85,12 @@
     writer.transport.abort()
 
 
-def an_answer(body: bytes, request_id: str, *headers: str) -> bytes:
+def an_answer(
+    body: bytes, request_id: str, *headers: str, status: str = "200 OK"
+) -> bytes:
     """Returns an encoded answer with a Content-Length header."""
     lines = [
-        "HTTP/1.1 200 OK",
+        f"HTTP/1.1 {status}",
         f"Request-Id: {request_id}",
         f"Content-Length: {len(body)}",
         *headers,
