--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -54,11 +54,13 @@
         status: HTTP status code.
         headers: All headers in their order, names in lower case.
         body: The complete body.
+        is_first: Whether no answer preceded it on its connection.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    is_first: bool = True
 
     def header(self, name: str) -> str | None:
         """Returns the first header with a name in lower case, or None."""
@@ -107,6 +109,7 @@
         self._pending: _PendingRequest | None = None
         self._reusable = True
         self._closed = False
+        self._is_answered = False
         # Bytes received until the head was complete, or slightly more.
         self._head_bytes = 0
         self._begin_message()
@@ -197,8 +200,12 @@
         if not self._parser.should_keep_alive():
             self._reusable = False
         answer = RawAnswer(
-            self._status, tuple(self._headers), b"".join(self._body)
+            self._status,
+            tuple(self._headers),
+            b"".join(self._body),
+            not self._is_answered,
         )
+        self._is_answered = True
         pending = self._pending
         if pending is None or pending.answer.done():
             self._discard(answer)
