Move the messages of client connections to a module of their own

Change: RawAnswer, encode_request and the parser of Keep-Alive are now in http_messages.py.

Measured: formatter, linter, types and import contracts are clean; the tests of connections, headers, load reports and function calls pass.

--- a/packages/burdockfront-client/src/burdockfront_client/call_link.py
+++ b/packages/burdockfront-client/src/burdockfront_client/call_link.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import peers as peers_lib
 from burdockfront_client import pool as pool_lib
 
@@ -47,11 +48,11 @@
         self,
         address: str,
         request: bytes,
-        is_own: Callable[[connection_lib.RawAnswer], bool],
+        is_own: Callable[[http_messages.RawAnswer], bool],
         timeout_s: float,
         limit_bytes: int,
         fresh: bool = False,
-    ) -> connection_lib.RawAnswer:
+    ) -> http_messages.RawAnswer:
         """Sends a call and reads the complete answer.
 
         Args:
--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -14,13 +14,13 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
-from collections.abc import Iterable
 from typing import cast
 
 import httptools
 
 from burdockfront import errors
 from burdockfront_client import header_names
+from burdockfront_client import http_messages
 
 _MAX_HEADERS_BYTES = 65_536
 _NO_BODY = (204, 304)
@@ -46,34 +46,10 @@
     """The answer is larger than allowed; the request did run."""
 
 
-@dataclasses.dataclass(slots=True)
-class RawAnswer:
-    """An HTTP answer as received.
-
-    Attributes:
-        status: HTTP status code.
-        headers: All headers in their order, names in lower case.
-        body: The complete body.
-        is_first: Whether no answer preceded it on its connection.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    is_first: bool = True
-
-    def header(self, name: str) -> str | None:
-        """Returns the first header with a name in lower case, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
-    answer: asyncio.Future[RawAnswer]
-    is_own: Callable[[RawAnswer], bool]
+    answer: asyncio.Future[http_messages.RawAnswer]
+    is_own: Callable[[http_messages.RawAnswer], bool]
     limit_bytes: int
     timer: asyncio.TimerHandle
 
@@ -97,7 +73,9 @@
     """
 
     def __init__(
-        self, on_discarded: Callable[[RawAnswer | None], None] | None = None
+        self,
+        on_discarded: Callable[[http_messages.RawAnswer | None], None]
+        | None = None,
     ) -> None:
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
@@ -199,7 +177,7 @@
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
-        answer = RawAnswer(
+        answer = http_messages.RawAnswer(
             self._status,
             tuple(self._headers),
             b"".join(self._body),
@@ -215,7 +193,7 @@
             # one may still follow.
             self._discard(answer)
             return
-        self.keep_alive_s = _keep_alive_of(answer)
+        self.keep_alive_s = http_messages.keep_alive_of(answer)
         pending.answer.set_result(answer)
 
     # ---- requests --------------------------------------------------------
@@ -228,11 +206,11 @@
     async def exchange(
         self,
         request: bytes,
-        is_own: Callable[[RawAnswer], bool],
+        is_own: Callable[[http_messages.RawAnswer], bool],
         limit_bytes: int,
         timeout_s: float,
         request_id: str = "",
-    ) -> RawAnswer:
+    ) -> http_messages.RawAnswer:
         """Sends a request and waits for its answer.
 
         Cancellation closes the connection, which signals to the server that the
@@ -304,7 +282,7 @@
         if len(self.failed_requests) >= MAX_FAILED_REQUESTS:
             self._reusable = False
 
-    def _discard(self, answer: RawAnswer | None) -> None:
+    def _discard(self, answer: http_messages.RawAnswer | None) -> None:
         """Drops an answer, or bytes, and stops the reuse of the connection."""
         self._reusable = False
         if self._on_discarded is not None:
@@ -346,31 +324,3 @@
             )
         if not self._closed:
             self.close()
-
-
-def encode_request(
-    method: str,
-    target: str,
-    host: str,
-    headers: Iterable[tuple[str, str]],
-    body: bytes,
-) -> bytes:
-    """Returns an encoded request, with its Host and Content-Length headers."""
-    line = f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n"
-    fields = "".join([f"{name}: {value}\r\n" for name, value in headers])
-    if not body and method in ("GET", "HEAD"):
-        return f"{line}{fields}\r\n".encode("latin-1")
-    length = f"content-length: {len(body)}\r\n\r\n"
-    return f"{line}{fields}{length}".encode("latin-1") + body
-
-
-def _keep_alive_of(answer: RawAnswer) -> float | None:
-    """Returns the timeout in an answer's Keep-Alive header, or None."""
-    value = answer.header("keep-alive")
-    if value is None:
-        return None
-    for part in value.split(","):
-        name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
-            return float(number)
-    return None
--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -18,6 +18,7 @@
 
 from burdockfront import errors
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 
 IDLE_S = 5.0
@@ -107,7 +108,7 @@
             AnswerTooLargeError: The answer's body is larger than `limit_bytes`.
         """
         pairs = headers.items() if isinstance(headers, Mapping) else headers
-        request = connection_lib.encode_request(
+        request = http_messages.encode_request(
             method,
             target,
             address,
@@ -156,7 +157,7 @@
         self._pools.clear()
 
 
-def _any_answer(answer: connection_lib.RawAnswer) -> bool:
+def _any_answer(answer: http_messages.RawAnswer) -> bool:
     """Accepts every answer: those of peers and the store carry no request id.
 
     A late answer can't be mistaken for that to the next request, because the
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import sockets
 
 # Share of the idle timeout announced by the server after which a connection is
@@ -66,7 +67,7 @@
         self,
         address: str,
         reuse: Reuse = _TO_BACKEND_SERVERS,
-        on_discarded: Callable[[connection_lib.RawAnswer | None], None]
+        on_discarded: Callable[[http_messages.RawAnswer | None], None]
         | None = None,
     ):
         self._reuse = reuse
@@ -81,12 +82,12 @@
     async def exchange(
         self,
         request: bytes,
-        is_own: Callable[[connection_lib.RawAnswer], bool],
+        is_own: Callable[[http_messages.RawAnswer], bool],
         limit_bytes: int,
         fresh: bool,
         timeout_s: float,
         request_id: str = "",
-    ) -> connection_lib.RawAnswer:
+    ) -> http_messages.RawAnswer:
         """Sends a request on an idle or a new connection.
 
         Args:
--- a/packages/burdockfront-client/src/burdockfront_client/sender.py
+++ b/packages/burdockfront-client/src/burdockfront_client/sender.py
@@ -19,8 +19,8 @@
 from burdockfront import timeline
 from burdockfront_client import call_link
 from burdockfront_client import calls
-from burdockfront_client import connection as connection_lib
 from burdockfront_client import feedback as feedback_lib
+from burdockfront_client import http_messages
 from burdockfront_client import peers as peers_lib
 from burdockfront_client import wire
 
@@ -189,7 +189,7 @@
         attempt_id = attempt.context.attempt_id
         reply = await self.link.request(
             target.address,
-            connection_lib.encode_request(
+            http_messages.encode_request(
                 call.method,
                 f"{wire.CALL_PREFIX}{call.service}{call.target}",
                 call.host or target.address,
--- a/packages/burdockfront-node/src/burdockfront_node/adapters.py
+++ b/packages/burdockfront-node/src/burdockfront_node/adapters.py
@@ -20,7 +20,7 @@
 from burdockfront import registry
 from burdockfront import routes
 from burdockfront import self_reports
-from burdockfront_client import connection
+from burdockfront_client import http_messages
 from burdockfront_node.controllers import store
 
 ADAPTERS = registry.Registry("adapter")
@@ -136,24 +136,24 @@
     def to_backend(self, terms: BackendTerms) -> Headers:
         """Returns the headers that carry these terms to a backend server."""
 
-    def request_id_of(self, answer: connection.RawAnswer) -> str | None:
+    def request_id_of(self, answer: http_messages.RawAnswer) -> str | None:
         """Returns the id of the request that an answer names; None if none."""
 
-    def is_own(self, answer: connection.RawAnswer, request_id: str) -> bool:
+    def is_own(self, answer: http_messages.RawAnswer, request_id: str) -> bool:
         """Whether an answer belongs to the request with this id."""
 
-    def is_complete(self, answer: connection.RawAnswer) -> bool:
+    def is_complete(self, answer: http_messages.RawAnswer) -> bool:
         """Whether an answer carries all headers that the server must set."""
 
-    def outcome_of(self, answer: connection.RawAnswer) -> BackendOutcome:
+    def outcome_of(self, answer: http_messages.RawAnswer) -> BackendOutcome:
         """Returns what the backend server did with the request."""
 
     def notice_of(
-        self, answer: connection.RawAnswer
+        self, answer: http_messages.RawAnswer
     ) -> self_reports.BackendNotice:
         """Returns the self report that an answer carries."""
 
-    def load_of(self, answer: connection.RawAnswer) -> tuple[str, ...]:
+    def load_of(self, answer: http_messages.RawAnswer) -> tuple[str, ...]:
         """Returns all values of the load report on an answer; () if none.
 
         Each has the form `RUNNING,WAITING,SLOTS[,SLOWDOWN]`. Called for each
@@ -161,7 +161,7 @@
         else.
         """
 
-    def health_of(self, answer: connection.RawAnswer) -> Health | None:
+    def health_of(self, answer: http_messages.RawAnswer) -> Health | None:
         """Parses the answer to a health check; None if not healthy."""
 
 
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/initial_health_check.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/initial_health_check.py
@@ -17,6 +17,7 @@
 from burdockfront import routes as routes_lib
 from burdockfront import self_reports
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from burdockfront_node import adapters
 from burdockfront_node import backend_load as backend_load_lib
@@ -112,8 +113,8 @@
 
     async def _request_health(
         self, path: str
-    ) -> connection_lib.RawAnswer | None:
-        request = connection_lib.encode_request(
+    ) -> http_messages.RawAnswer | None:
+        request = http_messages.encode_request(
             "GET", path, self._address, (), b""
         )
         pool = pool_lib.Pool(self._address)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -15,6 +15,7 @@
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from burdockfront_client import wire
 from burdockfront_node import adapters
@@ -131,7 +132,7 @@
             self._born_ms = current.born_ms
         return self._pool
 
-    def _on_discarded(self, answer: connection_lib.RawAnswer | None) -> None:
+    def _on_discarded(self, answer: http_messages.RawAnswer | None) -> None:
         """Counts and records an answer that belongs to no pending request."""
         self.answers_discarded += 1
         if answer is None:
@@ -146,23 +147,23 @@
     def _encode(self, call: calls.Call, terms: adapters.BackendTerms) -> bytes:
         """Returns the encoded request with the headers of this attempt."""
         headers = (*call.headers, *self._dialect.to_backend(terms))
-        return connection_lib.encode_request(
+        return http_messages.encode_request(
             call.method, call.target, call.host, headers, call.body
         )
 
     def _own_answer_check(
         self, attempt: calls.Attempt
-    ) -> Callable[[connection_lib.RawAnswer], bool]:
+    ) -> Callable[[http_messages.RawAnswer], bool]:
         request_id = attempt.context.request_id
 
-        def is_own(answer: connection_lib.RawAnswer) -> bool:
+        def is_own(answer: http_messages.RawAnswer) -> bool:
             return self._dialect.is_own(answer, request_id)
 
         return is_own
 
     def _evaluate(
         self,
-        answer: connection_lib.RawAnswer,
+        answer: http_messages.RawAnswer,
         instance_id: str,
         incarnation: incarnations_lib.Incarnation,
         sent_s: float,
--- a/tests/properties/test_whole_answers.py
+++ b/tests/properties/test_whole_answers.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies
 
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 
 _LIMIT_BYTES = 10_000
 _TIMEOUT_S = 5.0
@@ -164,7 +165,7 @@
 
     async def request(
         self, reaction: _Reaction, number: int
-    ) -> connection_lib.RawAnswer | None:
+    ) -> http_messages.RawAnswer | None:
         """Returns the answer, or None if it was lost."""
         connection = self._usable_connection()
         exchange = asyncio.create_task(
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -5,6 +5,7 @@
 import pytest
 
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
 
@@ -19,7 +20,7 @@
 
 async def _request(
     pool: pool_lib.Pool, request_id: str, fresh: bool = False
-) -> connection_lib.RawAnswer:
+) -> http_messages.RawAnswer:
     return await pool.exchange(
         _REQUEST, _is_answer_to(request_id), _LIMIT_BYTES, fresh, _TIMEOUT_S
     )
--- a/tests/unit/test_repeats.py
+++ b/tests/unit/test_repeats.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from burdockfront_client import connection as connection_lib
+from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
 
@@ -17,7 +18,7 @@
 
 async def _send(
     pool: pool_lib.Pool, request_id: str
-) -> connection_lib.RawAnswer:
+) -> http_messages.RawAnswer:
     return await pool.exchange(
         _REQUEST,
         lambda answer: answer.header("request-id") == request_id,
