Skip the late answers of native backend servers

What callers saw: after a native backend server had sent one answer twice, the next requests on that connection were answered "unknown", each one, until the connection was idle when an answer came. Reads were retried, confirmations lost.

The hand-over compared the echoed attempt only after the exchange. The connection went back to the pool although the answer to the attempt was still to come, and that one met the request after it.

Change: the check of the attempt is passed to the connection, as for other backend servers. An answer to another attempt is discarded, the answer to this one is awaited, and the connection is not used again. An answer that reaches a wrong connection now ends the wait at the deadline, no longer at once.

--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -13,6 +13,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -88,6 +89,7 @@
         timeout_s: float,
         limit_bytes: int,
         fresh: bool = False,
+        is_own: Callable[[http_messages.RawAnswer], bool] | None = None,
     ) -> Reply:
         """Sends a request and reads the complete answer.
 
@@ -100,6 +102,8 @@
             timeout_s: Time limit for receiving the complete answer.
             limit_bytes: Maximum size of the answer's body.
             fresh: Whether to avoid connections that may have become silent.
+            is_own: Returns whether an answer belongs to this request; by
+                default each one does.
 
         Raises:
             UnreachableError: Nothing was sent.
@@ -120,7 +124,7 @@
             pool = self._pools[address] = pool_lib.Pool(address, self._reuse)
         try:
             answer = await pool.exchange(
-                request, _any_answer, limit_bytes, fresh, timeout_s
+                request, is_own or _any_answer, limit_bytes, fresh, timeout_s
             )
         except connection_lib.NotSentError as error:
             raise UnreachableError(
--- a/packages/burdockfront-node/src/burdockfront_node/handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from burdockfront import admission
@@ -12,11 +13,13 @@
 from burdockfront import self_reports
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
+from burdockfront_client import http_messages
 from burdockfront_client import peers as peers_lib
 from burdockfront_client import wire
 from burdockfront_node import backend as backend_lib
 
 _IS_LEAVING = "1"
+_ATTEMPT_READ = wire.ATTEMPT.lower()
 
 
 class Handover(Protocol):
@@ -79,6 +82,7 @@
                 attempt.call.body,
                 max(0.001, opened.deadline_s - time.monotonic()),
                 limit_bytes,
+                is_own=self._own_answer_check(attempt),
             )
         except peers_lib.UnreachableError:
             unreachable = True
@@ -88,9 +92,6 @@
             self._attempts.end(attempt.context.attempt_id)
         unspent = opened.pool.units
         if reply is not None:
-            if _is_mixed_up(attempt, reply):
-                self.answers_discarded += 1
-                return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
             return _answer_of(announced, reply, unspent)
         if unreachable:
             return outcomes.not_run(
@@ -98,6 +99,25 @@
             )
         return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
 
+    def _own_answer_check(
+        self, attempt: calls.Attempt
+    ) -> Callable[[http_messages.RawAnswer], bool]:
+        """Returns a check that an answer names this attempt, or none.
+
+        An answer that names another attempt is late, or the backend server has
+        mixed up its answers. It must not reach this caller, and the answer to
+        this attempt may still follow.
+        """
+        attempt_id = attempt.context.attempt_id
+
+        def is_own(answer: http_messages.RawAnswer) -> bool:
+            if answer.header(_ATTEMPT_READ) in (None, attempt_id):
+                return True
+            self.answers_discarded += 1
+            return False
+
+        return is_own
+
     def _headers(
         self,
         announced: backend_lib.Announcement,
@@ -127,16 +147,6 @@
         return headers
 
 
-def _is_mixed_up(attempt: calls.Attempt, reply: peers_lib.Reply) -> bool:
-    """Returns whether a reply names another attempt.
-
-    The backend server has then mixed up its answers: this one belongs to
-    another caller and must not reach this one.
-    """
-    echoed = reply.header(wire.ATTEMPT)
-    return echoed is not None and echoed != attempt.context.attempt_id
-
-
 def _answer_of(
     announced: backend_lib.Announcement,
     reply: peers_lib.Reply,
