ctl: move the explanations of `why` to a module of their own

Change: explanations.py holds `why`; queries.py keeps show, history and the timeline. Texts and behaviour stay; the tests follow the new module.

--- a/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/main.py
@@ -12,6 +12,7 @@
 
 from burdockfront import errors
 from burdockfront_ctl import commands
+from burdockfront_ctl import explanations
 from burdockfront_ctl import language
 from burdockfront_ctl import losses
 from burdockfront_ctl import nodes as nodes_lib
@@ -119,7 +120,7 @@
             case language.ShowServers():
                 return await servers.show(nodes, command)
             case language.Why():
-                return await queries.why(nodes, command)
+                return await explanations.why(nodes, command)
             case language.Timeline():
                 return await queries.show_timeline(nodes, command)
             case language.History():
--- a/tests/unit/test_early_refusals.py
+++ b/tests/unit/test_early_refusals.py
@@ -12,8 +12,8 @@
 from burdockfront import timeline
 from burdockfront_client import calls
 from burdockfront_client import retry_decisions
+from burdockfront_ctl import explanations
 from burdockfront_ctl import losses
-from burdockfront_ctl import queries
 from burdockfront_node import entry_refusals
 from burdockfront_node.filters import identify
 from tests import builders
@@ -254,7 +254,7 @@
         "r1",
         {"outcome": "not-run", "reason": "overload-deeper", "count": 37},
     )
-    text = queries._describe_outcome([event])
+    text = explanations._describe_outcome([event])
     assert "overload-deeper" in text
     assert "stands for 37 requests" in text
 
--- a/tests/unit/test_show_accounts.py
+++ b/tests/unit/test_show_accounts.py
@@ -5,9 +5,9 @@
 
 from burdockfront import timeline
 from burdockfront_ctl import accounts
+from burdockfront_ctl import explanations
 from burdockfront_ctl import language
 from burdockfront_ctl import nodes
-from burdockfront_ctl import queries
 
 
 class _Nodes:
@@ -70,7 +70,7 @@
     )
     reply = nodes.Reply("n1", {"events": [event.to_json()]})
     view = asyncio.run(
-        queries.why(_Nodes([reply]), language.Why("request", "r-7"))
+        explanations.why(_Nodes([reply]), language.Why("request", "r-7"))
     )
     assert "acme" in view.remarks[-1]
     assert "no token left" in view.remarks[-1]
--- a/tests/unit/test_show_shares.py
+++ b/tests/unit/test_show_shares.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from burdockfront import timeline
+from burdockfront_ctl import explanations
 from burdockfront_ctl import language
 from burdockfront_ctl import nodes
 from burdockfront_ctl import queries
@@ -86,7 +87,7 @@
     ]
     reply = nodes.Reply("n1", {"events": events})
     view = asyncio.run(
-        queries.why(_Nodes([reply]), language.Why("request", "r-7"))
+        explanations.why(_Nodes([reply]), language.Why("request", "r-7"))
     )
     assert "6.5 times its fair share of ledger" in view.remarks[-1]
 
