--- a/features/environment.py
+++ b/features/environment.py
@@ -14,6 +14,7 @@
 from behave import model_type
 
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from features import worlds
 
 _LINES_SHOWN = 60
@@ -37,7 +38,7 @@
 def before_scenario(context, scenario):
     tags = scenario.effective_tags
     context.directory = tempfile.TemporaryDirectory(prefix="burdockfront-")
-    layout = cluster_lib.Layout(
+    layout = layouts.Layout(
         services=worlds.services(),
         data_centers=["dc1", "dc2"] if "two-data-centers" in tags else ["dc1"],
         embedded="embedded" in tags,
--- a/features/worlds.py
+++ b/features/worlds.py
@@ -14,6 +14,7 @@
 import orjson
 
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from burdockfront_client import wire
 from burdockfront_ctl import language
 from burdockfront_ctl import main as ctl
@@ -25,10 +26,10 @@
 _ROUTERS_FOLLOW_S = 0.5
 
 
-def services() -> list[cluster_lib.Service]:
+def services() -> list[layouts.Service]:
     """Returns a small call graph: enrolment calls fees."""
     return [
-        cluster_lib.Service(
+        layouts.Service(
             "enrolment",
             3,
             4,
@@ -45,7 +46,7 @@
                 "GET /slow": {"work_s": 1.0, "calls": []},
             },
         ),
-        cluster_lib.Service(
+        layouts.Service(
             "fees",
             2,
             4,
@@ -100,11 +101,11 @@
         await asyncio.gather(*self.pending, return_exceptions=True)
         await self.cluster.stop()
 
-    def machine(self, name: str) -> cluster_lib.Machine:
+    def machine(self, name: str) -> layouts.Machine:
         """Returns a machine by name."""
         return self.cluster.machine(name)
 
-    def running(self) -> list[cluster_lib.Machine]:
+    def running(self) -> list[layouts.Machine]:
         """Returns the machines whose nodes were not killed or frozen."""
         return [m for m in self.cluster.machines if m.name not in self.away]
 
--- a/packages/burdockfront-bench/src/burdockfront_bench/burst.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/burst.py
@@ -20,6 +20,7 @@
 import orjson
 
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from burdockfront_bench import meter as meter_lib
 from burdockfront_bench import scale
 from burdockfront_bench import spread
@@ -85,7 +86,7 @@
 
 async def _lose(
     cluster: cluster_lib.Cluster,
-    lost: list[cluster_lib.Machine],
+    lost: list[layouts.Machine],
     idle_bytes_per_s: float,
 ) -> Burst:
     since_s = time.time()
@@ -100,7 +101,7 @@
 
 async def _restart(
     cluster: cluster_lib.Cluster,
-    lost: list[cluster_lib.Machine],
+    lost: list[layouts.Machine],
     idle_bytes_per_s: float,
 ) -> Burst:
     since_s = time.time()
@@ -114,7 +115,7 @@
 
 async def _watch(
     cluster: cluster_lib.Cluster,
-    lost: list[cluster_lib.Machine],
+    lost: list[layouts.Machine],
     kind: str,
     since_s: float,
     idle_bytes_per_s: float,
@@ -140,8 +141,8 @@
 
 async def _known_s(
     cluster: cluster_lib.Cluster,
-    others: list[cluster_lib.Machine],
-    lost: list[cluster_lib.Machine],
+    others: list[layouts.Machine],
+    lost: list[layouts.Machine],
     kind: str,
     since_s: float,
 ) -> float:
--- a/packages/burdockfront-bench/src/burdockfront_bench/callpath.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/callpath.py
@@ -21,6 +21,7 @@
 from burdockfront import context as context_lib
 from burdockfront_bench import arrivals
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from burdockfront_bench import ports
 from burdockfront_client import calls
 from burdockfront_client import embedded
@@ -43,13 +44,13 @@
     added_p99_ms: float
 
 
-def layout() -> cluster_lib.Layout:
+def layout() -> layouts.Layout:
     """Returns a service that echoes, and another one to enter at."""
     echo = {"GET /echo": {"work_s": 0.0, "calls": []}}
-    return cluster_lib.Layout(
+    return layouts.Layout(
         services=[
-            cluster_lib.Service("front", 1, 64, echo, 64),
-            cluster_lib.Service("echo", 1, 64, echo, 64),
+            layouts.Service("front", 1, 64, echo, 64),
+            layouts.Service("echo", 1, 64, echo, 64),
         ],
         platform=False,
     )
--- a/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/cluster.py
@@ -5,11 +5,7 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import os
 import pathlib
-import signal
-import sys
 import tempfile
 import time
 from typing import Any
@@ -18,7 +14,9 @@
 import orjson
 import yaml
 
+from burdockfront_bench import layouts
 from burdockfront_bench import ports as ports_lib
+from burdockfront_bench import processes as processes_lib
 from burdockfront_bench.standins import proxy as proxy_lib
 
 PEER_KEY = "bench-peer-key-0123456789"
@@ -27,68 +25,6 @@
 _POLL_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Service:
-    """A service of the call graph.
-
-    Attributes:
-        name: Its name.
-        upstreams: Number of backend servers.
-        slots: Slots of each.
-        queue: Requests that may wait inside a backend server.
-        routes: By "METHOD /path": own work and deeper calls.
-    """
-
-    name: str
-    upstreams: int
-    slots: int
-    routes: dict[str, dict[str, Any]]
-    queue: int = 8
-
-
-@dataclasses.dataclass(slots=True)
-class Machine:
-    """A stand-in of a VM: a node and its backend server."""
-
-    name: str
-    service: str
-    data_center: str
-    region: str
-    caller: str
-    internal: str
-    backend: str
-    node_process: asyncio.subprocess.Process | None = None
-    backend_process: asyncio.subprocess.Process | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class Layout:
-    """What to start.
-
-    Attributes:
-        services: Services of the call graph.
-        data_centers: Machines are spread over these in turn.
-        regions: Region by data centre.
-        platform: Whether there is a platform stand-in.
-        embedded: Backend servers embed the router.
-        with_backends: Whether backend servers run, or only nodes.
-        node_settings: More settings for all nodes.
-        proxied: Nodes reach each other through fault-injecting proxies.
-        source_ips: Each data centre connects from an IP number of its own,
-            so that a proxy can tell them apart.
-    """
-
-    services: list[Service]
-    data_centers: list[str] = dataclasses.field(default_factory=lambda: ["dc1"])
-    regions: dict[str, str] = dataclasses.field(default_factory=dict)
-    platform: bool = True
-    embedded: bool = False
-    with_backends: bool = True
-    node_settings: dict[str, Any] = dataclasses.field(default_factory=dict)
-    proxied: bool = False
-    source_ips: bool = False
-
-
 class Cluster:
     """A running system.
 
@@ -97,18 +33,21 @@
         directory: Where settings and logs go.
     """
 
-    def __init__(self, layout: Layout, directory: pathlib.Path):
+    def __init__(self, layout: layouts.Layout, directory: pathlib.Path):
         self.layout = layout
         self.directory = directory
-        self.machines: list[Machine] = []
         self.platform = ""
         self.platform_process: asyncio.subprocess.Process | None = None
         self._session: aiohttp.ClientSession | None = None
         self.proxies: dict[str, proxy_lib.FaultProxy] = {}
         self._advertised: dict[str, str] = {}
         self._helpers: list[asyncio.subprocess.Process] = []
-        self._logs: list[Any] = []
-        self._plan()
+        self._processes = processes_lib.Processes(directory)
+        count = sum(service.upstreams for service in layout.services)
+        ports = iter(ports_lib.free_ports(3 * count + 1))
+        if layout.platform:
+            self.platform = f"127.0.0.1:{next(ports)}"
+        self.machines = layouts.machines_of(layout, ports)
 
     @property
     def session(self) -> aiohttp.ClientSession:
@@ -116,28 +55,6 @@
         assert self._session is not None
         return self._session
 
-    def _plan(self) -> None:
-        layout = self.layout
-        count = sum(service.upstreams for service in layout.services)
-        ports = iter(ports_lib.free_ports(3 * count + 1))
-        self.platform = f"127.0.0.1:{next(ports)}" if layout.platform else ""
-        index = 0
-        for service in layout.services:
-            for number in range(service.upstreams):
-                center = layout.data_centers[index % len(layout.data_centers)]
-                self.machines.append(
-                    Machine(
-                        f"{service.name}-{number + 1}",
-                        service.name,
-                        center,
-                        layout.regions.get(center, "r1"),
-                        f"127.0.0.1:{next(ports)}",
-                        f"127.0.0.1:{next(ports)}",
-                        f"127.0.0.1:{next(ports)}",
-                    )
-                )
-                index += 1
-
     async def start(self) -> None:
         """Starts all processes and waits until everybody knows everybody."""
         self._session = aiohttp.ClientSession(
@@ -172,7 +89,7 @@
             self.platform,
         )
 
-    async def start_node(self, machine: Machine) -> None:
+    async def start_node(self, machine: layouts.Machine) -> None:
         """Starts a node."""
         path = self.directory / f"{machine.name}.yaml"
         path.write_text(yaml.safe_dump(self.settings_of(machine)))
@@ -183,7 +100,9 @@
             str(path),
         )
 
-    async def start_backend(self, machine: Machine, **changes: Any) -> None:
+    async def start_backend(
+        self, machine: layouts.Machine, **changes: Any
+    ) -> None:
         """Starts a backend server."""
         service = self.service_of(machine)
         spec = {
@@ -208,17 +127,17 @@
             str(path),
         )
 
-    def journal_of(self, machine: Machine) -> pathlib.Path:
+    def journal_of(self, machine: layouts.Machine) -> pathlib.Path:
         """Returns where runs of confirmations beside a node are noted."""
         return self.directory / f"{machine.name}.runs"
 
-    def service_of(self, machine: Machine) -> Service:
+    def service_of(self, machine: layouts.Machine) -> layouts.Service:
         """Returns the service of a machine."""
         return next(
             s for s in self.layout.services if s.name == machine.service
         )
 
-    def settings_of(self, machine: Machine) -> dict[str, Any]:
+    def settings_of(self, machine: layouts.Machine) -> dict[str, Any]:
         """Returns the settings of a node."""
         seeds = [
             self._advertised.get(m.name, m.internal)
@@ -251,16 +170,16 @@
             }
         return settings
 
-    def machine(self, name: str) -> Machine:
+    def machine(self, name: str) -> layouts.Machine:
         """Returns a machine by name."""
         return next(m for m in self.machines if m.name == name)
 
-    def of_service(self, service: str) -> list[Machine]:
+    def of_service(self, service: str) -> list[layouts.Machine]:
         """Returns the machines of a service."""
         return [m for m in self.machines if m.service == service]
 
     async def operator(
-        self, machine: Machine, path: str, message: dict[str, Any]
+        self, machine: layouts.Machine, path: str, message: dict[str, Any]
     ) -> dict[str, Any]:
         """Asks a node as an operator."""
         return await self.ask(
@@ -291,11 +210,13 @@
         """Sets faults of the platform stand-in."""
         await self.ask(self.platform, "/control", faults, "")
 
-    async def control_backend(self, machine: Machine, **wanted: Any) -> None:
+    async def control_backend(
+        self, machine: layouts.Machine, **wanted: Any
+    ) -> None:
         """Changes the behaviour of a backend server."""
         await self.ask(machine.backend, "/_control", wanted, "")
 
-    async def ledger(self, machine: Machine) -> dict[str, Any]:
+    async def ledger(self, machine: layouts.Machine) -> dict[str, Any]:
         """Returns counts and runs of a backend server."""
         async with self.session.get(
             f"http://{machine.backend}/_ledger",
@@ -336,7 +257,7 @@
                 )
             await asyncio.sleep(_POLL_S)
 
-    async def _knows(self, machine: Machine, count: int) -> bool:
+    async def _knows(self, machine: layouts.Machine, count: int) -> bool:
         try:
             status = await self.operator(machine, "status", {})
             known = await self.operator(machine, "members", {})
@@ -359,36 +280,17 @@
         processes = [self.platform_process, *self._helpers]
         for machine in self.machines:
             processes += [machine.backend_process, machine.node_process]
-        for process in processes:
-            if process is not None and process.returncode is None:
-                with contextlib.suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGCONT)
-                    process.kill()
-        for process in processes:
-            if process is not None:
-                await process.wait()
-        for log in self._logs:
-            log.close()
+        await self._processes.end(processes)
 
     async def spawn(
         self, name: str, module: str, *arguments: str
     ) -> asyncio.subprocess.Process:
         """Starts a module as a process that logs to a file."""
-        log = (self.directory / f"{name}.log").open("ab")
-        self._logs.append(log)
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            module,
-            *arguments,
-            stdout=log,
-            stderr=log,
-            env={**os.environ, "PYTHONUNBUFFERED": "1"},
-        )
+        return await self._processes.spawn(name, module, *arguments)
 
 
 @contextlib.asynccontextmanager
-async def running(layout: Layout) -> Any:
+async def running(layout: layouts.Layout) -> Any:
     """Starts a cluster and ends it whatever happens."""
     with tempfile.TemporaryDirectory(prefix="burdockfront-") as name:
         cluster = Cluster(layout, pathlib.Path(name))
--- a/packages/burdockfront-bench/src/burdockfront_bench/demo.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/demo.py
@@ -18,6 +18,7 @@
 
 from burdockfront_bench import callers
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from burdockfront_bench import load as load_lib
 from burdockfront_bench import mesh
 from burdockfront_ctl import language
@@ -69,7 +70,7 @@
 
 async def run(console: rich.console.Console) -> Verdict:
     """Runs the demo."""
-    layout = cluster_lib.Layout(services=mesh.gandhinagar(upstreams=2))
+    layout = layouts.Layout(services=mesh.gandhinagar(upstreams=2))
     console.print("Starting 8 nodes, 8 backend servers and the platform...")
     async with cluster_lib.running(layout) as cluster:
         console.print("Callers browse and confirm; demand triples for 6 s...")
--- a/packages/burdockfront-bench/src/burdockfront_bench/experiment.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/experiment.py
@@ -17,6 +17,7 @@
 from burdockfront_bench import callers
 from burdockfront_bench import cluster as cluster_lib
 from burdockfront_bench import journal
+from burdockfront_bench import layouts
 from burdockfront_bench import load as load_lib
 from burdockfront_bench import mesh
 from burdockfront_bench import plots
@@ -39,7 +40,7 @@
 async def run(scenario: scenario_lib.Scenario, control: str, seed: int) -> Run:
     """Runs one scenario under one control."""
     graph = mesh.graph(scenario.graph)
-    layout = cluster_lib.Layout(
+    layout = layouts.Layout(
         services=graph.services,
         data_centers=graph.data_centers,
         proxied=scenario.proxied,
@@ -153,7 +154,7 @@
 
 def _planned(
     scenario: scenario_lib.Scenario,
-    services: list[cluster_lib.Service],
+    services: list[layouts.Service],
     seed: int,
 ) -> list[scenario_lib.Fault]:
     """Returns all faults, each with its end."""
--- a/packages/burdockfront-bench/src/burdockfront_bench/faults.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/faults.py
@@ -7,6 +7,7 @@
 
 from burdockfront import registry
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from burdockfront_bench import scenario as scenario_lib
 
 FAULTS = registry.Registry("fault")
@@ -26,7 +27,7 @@
 
 def machines_of(
     cluster: cluster_lib.Cluster, fault: scenario_lib.Fault
-) -> list[cluster_lib.Machine]:
+) -> list[layouts.Machine]:
     """Returns the machines that a fault hits."""
     machines = cluster.of_service(fault.service)
     return machines[fault.first : fault.first + fault.count]
@@ -35,7 +36,7 @@
 @FAULTS.register("slow")
 async def slow(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Backend servers work slower by a factor."""
@@ -52,7 +53,7 @@
 @FAULTS.register("freeze")
 async def freeze(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Backend servers stop, with open connections, and wake up later."""
@@ -69,7 +70,7 @@
 @FAULTS.register("freeze-node")
 async def freeze_node(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Nodes stop, with queued work, and wake up later."""
@@ -86,7 +87,7 @@
 @FAULTS.register("kill")
 async def kill(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Whole VMs die; new ones come in their place, cold."""
@@ -105,7 +106,7 @@
 @FAULTS.register("drain")
 async def drain(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Backend servers leave as planned; cold ones come later."""
@@ -124,7 +125,7 @@
 @FAULTS.register("lie")
 async def lie(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Backend servers claim many slots and no load."""
@@ -144,7 +145,7 @@
 @FAULTS.register("silence")
 async def silence(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Open connections to the nodes go silent; new ones work."""
@@ -160,7 +161,7 @@
 @FAULTS.register("unreachable")
 async def unreachable(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """Other nodes reach these no more; their callers and backends do."""
@@ -179,7 +180,7 @@
 @FAULTS.register("platform-down")
 async def platform_down(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     fault: scenario_lib.Fault,
 ) -> Undo:
     """The platform's service answers nothing."""
--- a/packages/burdockfront-bench/src/burdockfront_bench/mesh.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/mesh.py
@@ -11,7 +11,7 @@
 
 from burdockfront import registry
 from burdockfront_bench import callers
-from burdockfront_bench import cluster
+from burdockfront_bench import layouts
 
 GRAPHS = registry.Registry("call graph")
 
@@ -26,7 +26,7 @@
         mix: Kinds of requests; the one named `confirm` must not repeat.
     """
 
-    services: list[cluster.Service]
+    services: list[layouts.Service]
     data_centers: list[str]
     mix: list[callers.Kind]
 
@@ -67,10 +67,10 @@
     ]
 
 
-def gandhinagar(upstreams: int = 4) -> list[cluster.Service]:
+def gandhinagar(upstreams: int = 4) -> list[layouts.Service]:
     """Returns the services, with `upstreams` backend servers each."""
     return [
-        cluster.Service(
+        layouts.Service(
             "catalogue",
             upstreams,
             4,
@@ -82,7 +82,7 @@
                 "GET /price": {"work_s": 0.01, "calls": []},
             },
         ),
-        cluster.Service(
+        layouts.Service(
             "enrolment",
             upstreams,
             4,
@@ -97,13 +97,13 @@
                 },
             },
         ),
-        cluster.Service(
+        layouts.Service(
             "timetable",
             upstreams,
             4,
             {"GET /batches": {"work_s": 0.03, "calls": []}},
         ),
-        cluster.Service(
+        layouts.Service(
             "fees",
             upstreams,
             1,
@@ -122,10 +122,10 @@
     ]
 
 
-def lima(upstreams: int = 3) -> list[cluster.Service]:
+def lima(upstreams: int = 3) -> list[layouts.Service]:
     """Returns the services, with `upstreams` backend servers each."""
     return [
-        cluster.Service(
+        layouts.Service(
             "market",
             upstreams,
             4,
@@ -136,7 +136,7 @@
                 },
             },
         ),
-        cluster.Service(
+        layouts.Service(
             "transfers",
             upstreams,
             4,
@@ -147,7 +147,7 @@
                 },
             },
         ),
-        cluster.Service(
+        layouts.Service(
             "limits",
             upstreams,
             4,
@@ -159,7 +159,7 @@
                 },
             },
         ),
-        cluster.Service(
+        layouts.Service(
             "landings",
             upstreams,
             1,
--- a/packages/burdockfront-bench/src/burdockfront_bench/scale.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/scale.py
@@ -20,6 +20,7 @@
 import orjson
 
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 from burdockfront_bench import meter as meter_lib
 from burdockfront_bench import platform_load
 from burdockfront_bench import plots
@@ -51,10 +52,10 @@
     join_max_s: float
 
 
-def layout_of(count: int) -> cluster_lib.Layout:
+def layout_of(count: int) -> layouts.Layout:
     """Returns `count` nodes in 2 regions of 3 data centres each."""
-    services = [cluster_lib.Service(f"s{n}", 1, 40, {}) for n in range(count)]
-    return cluster_lib.Layout(
+    services = [layouts.Service(f"s{n}", 1, 40, {}) for n in range(count)]
+    return layouts.Layout(
         services=services,
         data_centers=[f"dc{n}" for n in range(6)],
         regions={f"dc{n}": f"r{n // 3}" for n in range(6)},
@@ -125,7 +126,7 @@
 
 
 async def _announce(
-    cluster: cluster_lib.Cluster, machine: cluster_lib.Machine
+    cluster: cluster_lib.Cluster, machine: layouts.Machine
 ) -> None:
     index = cluster.machines.index(machine)
     document = {
--- a/packages/burdockfront-bench/src/burdockfront_bench/slopes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/slopes.py
@@ -22,6 +22,7 @@
 from burdockfront_bench import arrivals
 from burdockfront_bench import callpath
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 
 _ITEMS = 20_000
 _RATE_PER_S = 150.0
@@ -91,7 +92,7 @@
     return len(orjson.dumps(_member(1).to_entry().to_json()))
 
 
-def _cpu_s(machine: cluster_lib.Machine) -> float:
+def _cpu_s(machine: layouts.Machine) -> float:
     assert machine.node_process is not None
     pid = machine.node_process.pid
     stat = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2]
--- a/packages/burdockfront-bench/src/burdockfront_bench/spread.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/spread.py
@@ -11,6 +11,7 @@
 
 from burdockfront import timeline
 from burdockfront_bench import cluster as cluster_lib
+from burdockfront_bench import layouts
 
 _DETECT_S = 25.0
 
@@ -57,7 +58,7 @@
 
 async def events(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     member: str,
     kind: str,
     since_s: float,
@@ -84,7 +85,7 @@
 
 async def _until_all(
     cluster: cluster_lib.Cluster,
-    machines: list[cluster_lib.Machine],
+    machines: list[layouts.Machine],
     member: str,
     kind: str,
     since_s: float,
--- a/packages/burdockfront-bench/src/burdockfront_bench/trouble.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/trouble.py
@@ -14,6 +14,7 @@
 
 from burdockfront_bench import cluster as cluster_lib
 from burdockfront_bench import faults
+from burdockfront_bench import layouts
 from burdockfront_bench import scenario as scenario_lib
 
 # A replaced VM needs this long until it serves; then it may be hit again.
@@ -37,7 +38,7 @@
 
 def draw(
     drawn: scenario_lib.DrawnFaults,
-    services: list[cluster_lib.Service],
+    services: list[layouts.Service],
     trigger_s: float,
     seed: int,
 ) -> list[scenario_lib.Fault]:
@@ -70,7 +71,7 @@
 
 
 def _free_machines(
-    services: list[cluster_lib.Service],
+    services: list[layouts.Service],
     hits: list[_Hit],
     from_s: float,
     to_s: float,
