--- a/tests/properties/test_repeats.py
+++ b/tests/properties/test_repeats.py
@@ -26,12 +26,12 @@
     Attributes:
         name: Which of a few requests is sent.
         rejected: Whether the server rejects it.
-        doubled: Whether the server sends its answer twice.
+        duplicated: Whether the server sends its answer twice.
     """
 
     name: str
     rejected: bool
-    doubled: bool
+    duplicated: bool
 
 
 # Attempts of one group are sent at the same time, under different ids.
@@ -72,7 +72,7 @@
             attempt = self.attempts[number]
             answer = _answer(attempt, request_id, number)
             writer.write(late + answer)
-            late = answer if attempt.doubled else b""
+            late = answer if attempt.duplicated else b""
 
 
 def _answer(attempt: _Attempt, request_id: bytes, number: int) -> bytes:
--- a/tests/unit/test_native_answers.py
+++ b/tests/unit/test_native_answers.py
@@ -21,7 +21,7 @@
 
 
 def test_answer_that_is_sent_twice_costs_the_next_requests_nothing():
-    """Guards against one doubled answer that makes all later ones count lost.
+    """Guards against a duplicated answer that makes all later ones lost.
 
     Each request on the connection would get the answer to the one before it.
     """
