Log lost answers of the backend server, and answers that name no request

Cause: the incident's hypotheses could not be told apart by a node's log. It did not show that an answer without a request id was accepted as an answer, nor why an answer was lost (for example a body above the limit).

Change: lines backend.answer-unnamed (status) and backend.answer-lost (why). No decision changes.

--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -109,10 +109,23 @@
             )
         except connection_lib.AnswerLateError:
             return outcomes.unknown(outcomes.Reason.DEADLINE)
-        except connection_lib.AnswerLostError:
+        except connection_lib.AnswerLostError as error:
+            self._recorder.record(
+                time.time(),
+                "backend.answer-lost",
+                attempt.context.request_id,
+                why=str(error),
+            )
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         finally:
             self._attempts.end(attempt.context.attempt_id)
+        if self._dialect.request_id_of(answer) is None:
+            self._recorder.record(
+                time.time(),
+                "backend.answer-unnamed",
+                attempt.context.request_id,
+                status=answer.status,
+            )
         return self._evaluate(
             answer, current.instance_id, announced.incarnation, sent_s
         )
