--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -16,10 +16,12 @@
         address: `ip:port`.
         connections: Number of connections that were opened.
         requests: Heads of the received requests, in order.
+        repeated_bytes: Number of bytes sent for `Step.repeated`.
     """
 
     address: str = ""
     connections: int = 0
+    repeated_bytes: int = 0
     requests: list[bytes] = dataclasses.field(default_factory=list)
 
 
@@ -33,11 +35,14 @@
             stop responding and leave it open (`hang`).
         late: Bytes that precede the reaction to the next request on this
             connection.
+        repeated: Bytes that follow `data` until the other side closes the
+            connection; empty: none.
     """
 
     data: bytes
     then: str = "keep"
     late: bytes = b""
+    repeated: bytes = b""
 
 
 @asynccontextmanager
@@ -59,6 +64,10 @@
                 writer.write(late + step.data)
                 late = step.late
                 await writer.drain()
+                while step.repeated:
+                    writer.write(step.repeated)
+                    scripted.repeated_bytes += len(step.repeated)
+                    await writer.drain()
                 if step.then == "reset":
                     _reset(writer)
                 if step.then == "close":
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -8,6 +8,7 @@
 from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
+from tests import spoiled_answers
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 _LIMIT_BYTES = 10_000
@@ -300,3 +301,17 @@
             assert answer.body == body
 
     asyncio.run(scenario())
+
+
+def test_trailer_fields_are_no_headers():
+    """Guards against a trailer that turns a success into a rejection."""
+
+    async def scenario() -> None:
+        spoiled = spoiled_answers.rejection_in_trailer("a")
+        step = scripted_server.Step(spoiled.start)
+        async with scripted_server.serving(step) as server:
+            answer = await _request(pool_lib.Pool(server.address), "a")
+            assert answer.body == b"done"
+            assert answer.header("not-executed") is None
+
+    asyncio.run(scenario())
