An answer that names no request proves nothing about one

Cause: HeaderDialect.is_own accepted an answer without an id as a failure of the request that waits, if it was the first one on its connection. New connections are frequent while servers reject, and nothing ties such bytes to the request.

Change: only an answer that names the request counts. Another one is discarded and the answer is awaited. An idempotent request on a connection without any earlier answer stops waiting: the answer counts as lost, so that the request can be sent again.

--- a/packages/burdockfront-node/src/burdockfront_node/adapters.py
+++ b/packages/burdockfront-node/src/burdockfront_node/adapters.py
@@ -140,7 +140,7 @@
         """Returns the id of the request that an answer names; None if none."""
 
     def is_own(self, answer: http_messages.RawAnswer, request_id: str) -> bool:
-        """Whether an answer belongs to the request with this id."""
+        """Whether an answer names the request with this id."""
 
     def is_complete(self, answer: http_messages.RawAnswer) -> bool:
         """Whether an answer carries all headers that the server must set."""
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -119,13 +119,14 @@
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         finally:
             self._attempts.end(attempt.context.attempt_id)
-        if self._dialect.request_id_of(answer) is None:
+        if answer.is_first and self._dialect.request_id_of(answer) is None:
             self._recorder.record(
                 time.time(),
                 "backend.answer-unnamed",
                 attempt.context.request_id,
                 status=answer.status,
             )
+            return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         return self._evaluate(
             answer, current.instance_id, announced.incarnation, sent_s
         )
@@ -167,10 +168,21 @@
     def _own_answer_check(
         self, attempt: calls.Attempt
     ) -> Callable[[http_messages.RawAnswer], bool]:
+        """Returns a check whether to stop waiting at an answer.
+
+        One that names no request is skipped, since the answer to this request
+        may follow. Only where nothing preceded it on its connection, so that it
+        most likely stands in place of the answer, and the request may be sent
+        again, does it count as the loss of the answer.
+        """
         request_id = attempt.context.request_id
+        repeatable = attempt.call.idempotent
 
         def is_own(answer: http_messages.RawAnswer) -> bool:
-            return self._dialect.is_own(answer, request_id)
+            if self._dialect.is_own(answer, request_id):
+                return True
+            unnamed_first = repeatable and answer.is_first
+            return unnamed_first and self._dialect.request_id_of(answer) is None
 
         return is_own
 
