Drop the trailer fields of a backend server's answer

Cause: the parser reports trailer fields like headers, and the connection appended them. A trailer could so turn a signed success into a rejection, or add a second id, a limit or a leave notice.

Change: fields after the end of the head are dropped.

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -141,7 +141,13 @@
             self._begin_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Appends a header."""
+        """Appends a header; trailer fields, after the body, are dropped.
+
+        They must not pass for headers (RFC 9110, 6.5.1), which say whether the
+        request has run.
+        """
+        if self._headers_done:
+            return
         lowered = header_names.LOWERED[name]
         self._headers.append((lowered, value.decode("latin-1")))
 
