Give up answers of a backend server that do not end

Cause: only the headers and the body were limited. Informational answers, answers of other requests, chunk sizes, chunk extensions and trailers were not, and the parser works through each segment to its end, also after the connection has failed.

Change: at most 16 skipped answers an exchange; what frames a body may take as much as headers and an eighth of the body; a failed connection stops the parser within the segment. A late second answer is skipped as before.

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -8,6 +8,11 @@
 whether an answer is its own. Any other answer is dropped, and the connection on
 which it arrived is not reused.
 
+A server may also send bytes without end. All that it can send in place of an
+answer is limited: the head, the body, what frames the body, and the number of
+answers that are skipped. The time limit alone would not do, since reading such
+bytes occupies the event loop until then.
+
 Answers are parsed by `httptools`.
 """
 
@@ -23,6 +28,12 @@
 from burdockfront_client import http_messages
 
 _MAX_HEADERS_BYTES = 65_536
+# Chunk sizes, chunk extensions and trailers may take up as much as the headers,
+# and one byte for this many bytes of the body.
+_BODY_BYTES_PER_FRAMING_BYTE = 8
+# Informational answers, and answers that belong to another request, that may
+# precede the answer to a request.
+_MAX_SKIPPED_ANSWERS = 16
 _NO_BODY = (204, 304)
 _FIRST_ERROR_STATUS = 400
 # A connection that has answered this many requests with errors is not reused,
@@ -46,6 +57,10 @@
     """The answer is larger than allowed; the request did run."""
 
 
+class _AbandonedError(Exception):
+    """Stops the parser within a segment, after its connection has failed."""
+
+
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
     answer: asyncio.Future[http_messages.RawAnswer]
@@ -90,6 +105,7 @@
         self._is_answered = False
         # Bytes received until the head was complete, or slightly more.
         self._head_bytes = 0
+        self._skipped_answers = 0
         self._begin_message()
 
     # ---- asyncio.Protocol ------------------------------------------------
@@ -107,7 +123,9 @@
                 self._discard(None)
             self.close()
             return
-        if not self._headers_done:
+        if self._headers_done:
+            self._bytes_after_head += len(data)
+        else:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -115,8 +133,11 @@
             self._fail(f"sent invalid HTTP ({error})")
         except httptools.HttpParserUpgrade:
             self._fail("switched to another protocol")
-        if not self._headers_done and self._head_bytes > _MAX_HEADERS_BYTES:
-            self._fail_by_head_size()
+        if not self._headers_done:
+            if self._head_bytes > _MAX_HEADERS_BYTES:
+                self._fail_by_head_size()
+        elif self._bytes_after_head > self._body_bytes:
+            self._limit_framing()
 
     def eof_received(self) -> bool:
         """Ends an answer without a length, or fails the pending request."""
@@ -134,6 +155,8 @@
 
     def on_message_begin(self) -> None:
         """Starts an answer."""
+        if self._closed:
+            raise _AbandonedError
         if self._message_done:
             # A second answer follows the first one.
             self._reusable = False
@@ -164,6 +187,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body, within the size limit."""
+        if self._closed:
+            raise _AbandonedError
         self._body.append(body)
         self._body_bytes += len(body)
         pending = self._pending
@@ -180,6 +205,7 @@
             # An informational answer such as 100 Continue; the final answer
             # follows.
             self._message_done = False
+            self._skip_answer()
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
@@ -198,6 +224,7 @@
             # The late answer to an earlier request; the answer to the pending
             # one may still follow.
             self._discard(answer)
+            self._skip_answer()
             return
         self.keep_alive_s = http_messages.keep_alive_of(answer)
         pending.answer.set_result(answer)
@@ -243,6 +270,7 @@
             raise NotSentError("the connection was closed; nothing was sent.")
         loop = self._loop
         self._head_bytes = 0
+        self._skipped_answers = 0
         self._begin_message()
         pending = self._pending = _PendingRequest(
             loop.create_future(),
@@ -281,6 +309,8 @@
         self._headers_done = False
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # Bytes of segments received after the head was complete.
+        self._bytes_after_head = 0
         self._message_done = False
 
     def _record_failed(self, request_id: str) -> None:
@@ -294,6 +324,19 @@
         if self._on_discarded is not None:
             self._on_discarded(answer)
 
+    def _skip_answer(self) -> None:
+        """Counts an answer that is not the awaited one."""
+        self._skipped_answers += 1
+        if self._skipped_answers > _MAX_SKIPPED_ANSWERS:
+            self._fail(f"sent more than {_MAX_SKIPPED_ANSWERS} other answers")
+
+    def _limit_framing(self) -> None:
+        """Fails an answer that consists of much more than its body."""
+        framing_bytes = self._bytes_after_head - self._body_bytes
+        allowed = self._body_bytes // _BODY_BYTES_PER_FRAMING_BYTE
+        if framing_bytes > _MAX_HEADERS_BYTES + allowed:
+            self._fail(f"sent {framing_bytes} bytes around the body")
+
     def _fail_by_head_size(self) -> None:
         self._fail(f"sent more than {_MAX_HEADERS_BYTES} bytes of headers")
 
