Bound the memory of answers that are being received

Cause: each body was bounded, their sum was not; and a body in small chunks took many times its size, as one object for each chunk.

Change: AnswerMemory counts bodies above 64 KB over all connections to backend servers. Above its capacity the largest is given up, which is the one most likely to have no end; its request counts as lost. Bodies are collected in one buffer.

Usual answers are not counted; the bounds on function calls hold unchanged.

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -24,6 +24,7 @@
 import httptools
 
 from burdockfront import errors
+from burdockfront_client import answer_memory
 from burdockfront_client import header_names
 from burdockfront_client import http_messages
 
@@ -76,6 +77,8 @@
         on_discarded: Called with each answer that belongs to no pending
             request, and with None for bytes that arrive while no request is
             pending.
+        memory: Bounds the answers that connections are receiving; None: no
+            bound but that on each answer.
 
     Attributes:
         idle_since_s: Event loop time at which the last answer ended.
@@ -91,7 +94,9 @@
         self,
         on_discarded: Callable[[http_messages.RawAnswer | None], None]
         | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
+        self._memory = memory
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self.failed_requests: set[str] = set()
@@ -106,6 +111,14 @@
         # Bytes received until the head was complete, or slightly more.
         self._head_bytes = 0
         self._skipped_answers = 0
+        # Small chunks would take many times their size in a list.
+        self._body = bytearray()
+        # Sizes of the body at which it is first, and next, compared with the
+        # limits.
+        self._first_check_bytes = answer_memory.UNCOUNTED_BYTES
+        self._checked_up_to_bytes = 0
+        # Whether `memory` counts the body.
+        self._is_counted = False
         self._begin_message()
 
     # ---- asyncio.Protocol ------------------------------------------------
@@ -189,14 +202,10 @@
         """Appends a part of the body, within the size limit."""
         if self._closed:
             raise _AbandonedError
-        self._body.append(body)
+        self._body += body
         self._body_bytes += len(body)
-        pending = self._pending
-        if pending is not None and self._body_bytes > pending.limit_bytes:
-            self._fail(
-                f"sent a body of more than {pending.limit_bytes} bytes",
-                AnswerTooLargeError,
-            )
+        if self._body_bytes > self._checked_up_to_bytes:
+            self._limit_body()
 
     def on_message_complete(self) -> None:
         """Ends an answer."""
@@ -212,7 +221,7 @@
         answer = http_messages.RawAnswer(
             self._status,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             not self._is_answered,
         )
         self._is_answered = True
@@ -271,6 +280,9 @@
         loop = self._loop
         self._head_bytes = 0
         self._skipped_answers = 0
+        self._first_check_bytes = answer_memory.UNCOUNTED_BYTES
+        if limit_bytes < answer_memory.UNCOUNTED_BYTES:
+            self._first_check_bytes = limit_bytes
         self._begin_message()
         pending = self._pending = _PendingRequest(
             loop.create_future(),
@@ -287,6 +299,8 @@
         finally:
             pending.timer.cancel()
             self._pending = None
+            if self._is_counted:
+                self._release_memory()
         self.idle_since_s = loop.time()
         if request_id and answer.status >= _FIRST_ERROR_STATUS:
             self._record_failed(request_id)
@@ -307,8 +321,11 @@
         self._status = 0
         self._headers: list[tuple[str, str]] = []
         self._headers_done = False
-        self._body: list[bytes] = []
+        if self._is_counted:
+            self._release_memory()
+        del self._body[:]
         self._body_bytes = 0
+        self._checked_up_to_bytes = self._first_check_bytes
         # Bytes of segments received after the head was complete.
         self._bytes_after_head = 0
         self._message_done = False
@@ -330,6 +347,42 @@
         if self._skipped_answers > _MAX_SKIPPED_ANSWERS:
             self._fail(f"sent more than {_MAX_SKIPPED_ANSWERS} other answers")
 
+    def _limit_body(self) -> None:
+        """Fails an answer whose body is too large, and counts a large one."""
+        pending = self._pending
+        if pending is None:
+            return
+        if self._body_bytes > pending.limit_bytes:
+            self._fail(
+                f"sent a body of more than {pending.limit_bytes} bytes",
+                AnswerTooLargeError,
+            )
+            return
+        self._checked_up_to_bytes = min(
+            self._body_bytes + answer_memory.UNCOUNTED_BYTES,
+            pending.limit_bytes,
+        )
+        if self._memory is not None:
+            self._is_counted = True
+            self._memory.update(self, self._body_bytes)
+
+    def give_up_answer(self, held_bytes: int, capacity_bytes: int) -> None:
+        """Fails the pending request; all answers together are too large."""
+        self._is_counted = False
+        self._fail(
+            f"sent {held_bytes} bytes of a body, while all incomplete answers "
+            f"together exceeded {capacity_bytes} bytes,",
+            AnswerTooLargeError,
+        )
+        del self._body[:]
+
+    def _release_memory(self) -> None:
+        """Ends the count of the body, and drops it."""
+        assert self._memory is not None
+        self._is_counted = False
+        self._memory.release(self)
+        del self._body[:]
+
     def _limit_framing(self) -> None:
         """Fails an answer that consists of much more than its body."""
         framing_bytes = self._bytes_after_head - self._body_bytes
--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -18,6 +18,7 @@
 from collections.abc import Mapping
 
 from burdockfront import errors
+from burdockfront_client import answer_memory
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
@@ -64,12 +65,18 @@
     Args:
         source_ip: Local IP address of outgoing connections; None lets the
             system choose.
+        memory: See `connection.Connection`.
 
     Attributes:
         retired: How often the connections to a peer were retired.
     """
 
-    def __init__(self, source_ip: str | None = None) -> None:
+    def __init__(
+        self,
+        source_ip: str | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
+    ) -> None:
+        self._memory = memory
         self._reuse = pool_lib.Reuse(
             idle_unstated_s=IDLE_S,
             fresh_s=FRESH_S,
@@ -121,7 +128,9 @@
         )
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = pool_lib.Pool(address, self._reuse)
+            pool = self._pools[address] = pool_lib.Pool(
+                address, self._reuse, memory=self._memory
+            )
         try:
             answer = await pool.exchange(
                 request, is_own or _any_answer, limit_bytes, fresh, timeout_s
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Callable
 
+from burdockfront_client import answer_memory
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import http_messages
 from burdockfront_client import sockets
@@ -58,6 +59,7 @@
         address: `ip:port`.
         reuse: Limits on the reuse of connections.
         on_discarded: See `connection.Connection`.
+        memory: See `connection.Connection`.
 
     Attributes:
         opened: Number of connections opened so far.
@@ -69,8 +71,10 @@
         reuse: Reuse = _TO_BACKEND_SERVERS,
         on_discarded: Callable[[http_messages.RawAnswer | None], None]
         | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ):
         self._reuse = reuse
+        self._memory = memory
         self._on_discarded = on_discarded
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
@@ -184,7 +188,9 @@
         try:
             async with asyncio.timeout(min(timeout_s, self._reuse.connect_s)):
                 transport, connection = await loop.create_connection(
-                    lambda: connection_lib.Connection(self._on_discarded),
+                    lambda: connection_lib.Connection(
+                        self._on_discarded, self._memory
+                    ),
                     self._host,
                     self._port,
                     local_addr=(source_ip, 0) if source_ip else None,
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -24,6 +24,7 @@
 from burdockfront import policy as policy_lib
 from burdockfront import tickets
 from burdockfront import timeline
+from burdockfront_client import answer_memory
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
 from burdockfront_client import dispatcher as dispatcher_lib
@@ -123,7 +124,9 @@
         self._runs = backend_runs.BackendRuns(
             handover
             or handover_lib.PlainHandover(
-                peers_lib.Peers(), dispatcher.sender.keys, attempts
+                peers_lib.Peers(memory=answer_memory.AnswerMemory()),
+                dispatcher.sender.keys,
+                attempts,
             ),
             self._availability,
             self._quarantine,
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -19,6 +19,7 @@
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import routes as routes_lib
 from burdockfront import watchers
+from burdockfront_client import answer_memory
 from burdockfront_node import account_shares as account_shares_lib
 from burdockfront_node import account_status as account_status_lib
 from burdockfront_node import adapters
@@ -225,6 +226,7 @@
             self._attempts,
             self._recorder,
             self._backend_load,
+            answer_memory.AnswerMemory(self._settings.incomplete_answers_bytes),
         )
 
     def _new_lineage(self) -> lineage_lib.Lineage:
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -12,6 +12,7 @@
 from burdockfront import incarnations as incarnations_lib
 from burdockfront import outcomes
 from burdockfront import timeline
+from burdockfront_client import answer_memory
 from burdockfront_client import attempts as attempts_lib
 from burdockfront_client import calls
 from burdockfront_client import connection as connection_lib
@@ -38,6 +39,7 @@
         recorder: Records discarded answers.
         backend_load: Receives the load reports on answers; None to ignore
             them.
+        memory: Bounds the answers that are being received.
 
     Attributes:
         answers_discarded: See `handover.Handover`.
@@ -50,8 +52,10 @@
         attempts: attempts_lib.AttemptTracker,
         recorder: timeline.Recorder,
         backend_load: backend_load_lib.BackendLoad | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ):
         self.answers_discarded = 0
+        self._memory = memory
         self._recorder = recorder
         self._backend_load = backend_load
         self._dialect = dialect
@@ -140,7 +144,9 @@
         if self._pool is None or known != wanted:
             if self._pool is not None:
                 self._pool.close_idle()
-            self._pool = pool_lib.Pool(address, on_discarded=self._on_discarded)
+            self._pool = pool_lib.Pool(
+                address, on_discarded=self._on_discarded, memory=self._memory
+            )
             self._address = address
             self._instance_id = current.instance_id
             self._born_ms = current.born_ms
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -12,8 +12,14 @@
 from burdockfront import errors
 from burdockfront import levels
 from burdockfront import policy
+from burdockfront_client import answer_memory
 from burdockfront_node import yaml_lines
 
+_BYTES_PER_MB = 1_000_000
+# A complete answer is copied while it is forwarded, and the ledger has a limit
+# of its own, so that incomplete answers get only a small part of the memory.
+_INCOMPLETE_ANSWERS_SHARE = 0.125
+
 
 def _check_address(value: str) -> str:
     host, _, port = value.rpartition(":")
@@ -127,7 +133,12 @@
 
 
 class NodeSettings(_Model):
-    """All settings of a node."""
+    """All settings of a node.
+
+    Attributes:
+        memory_mb: Memory that this process may use, in megabytes; None if it is
+            not known.
+    """
 
     node_id: _Name
     data_center: _Name
@@ -144,6 +155,7 @@
     gossip: GossipSettings = GossipSettings()
     drain: DrainSettings = DrainSettings()
     ticket_lifetime_s: float = pydantic.Field(default=900.0, ge=10, le=86_400)
+    memory_mb: float | None = pydantic.Field(default=None, ge=64)
     ledger_bytes: int = pydantic.Field(default=64_000_000, ge=100_000)
     events: int = pydantic.Field(default=20_000, ge=100, le=1_000_000)
     trace_share: float = pydantic.Field(default=1.0, ge=0.0, le=1.0)
@@ -154,6 +166,13 @@
         default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$"
     )
 
+    @property
+    def incomplete_answers_bytes(self) -> int:
+        """Limit on the answers that are being received, all together."""
+        if self.memory_mb is None:
+            return answer_memory.DEFAULT_CAPACITY_BYTES
+        return round(self.memory_mb * _BYTES_PER_MB * _INCOMPLETE_ANSWERS_SHARE)
+
     @pydantic.model_validator(mode="after")
     def _check_keys(self) -> "NodeSettings":
         """Requires keys unless the node is routed.
