A native refusal that names no attempt does not refuse a confirmation

Same class as answers without an id, at the native interface: not-run was believed from an answer that names no attempt, so the second copy of a refusal could answer the next request on its connection while that one runs. Found by reading; the test hands over one confirmation and gets such a refusal.

Change: for a request that must not run twice it counts as a lost answer. An idempotent request is rerouted as before.

--- a/packages/burdockfront-node/src/burdockfront_node/handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/handover.py
@@ -92,6 +92,8 @@
             self._attempts.end(attempt.context.attempt_id)
         unspent = opened.pool.units
         if reply is not None:
+            if _is_unproven_refusal(attempt, reply):
+                return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
             return _answer_of(announced, reply, unspent)
         if unreachable:
             return outcomes.not_run(
@@ -147,6 +149,20 @@
         return headers
 
 
+def _is_unproven_refusal(
+    attempt: calls.Attempt, reply: peers_lib.Reply
+) -> bool:
+    """Whether a request that must not run twice was refused without proof.
+
+    A refusal that names no attempt may be the second copy of an earlier one,
+    while the server runs this attempt.
+    """
+    if attempt.call.idempotent:
+        return False
+    refused = reply.header(wire.OUTCOME) == outcomes.Outcome.NOT_RUN
+    return refused and reply.header(wire.ATTEMPT) is None
+
+
 def _answer_of(
     announced: backend_lib.Announcement,
     reply: peers_lib.Reply,
--- a/tests/unit/test_native_answers.py
+++ b/tests/unit/test_native_answers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from burdockfront import keyring
 from burdockfront import outcomes
 from burdockfront_client import attempts
@@ -20,6 +22,20 @@
     return scripted_server.an_answer(body, "", echo)
 
 
+def _a_handover() -> handover.PlainHandover:
+    return handover.PlainHandover(
+        peers.Peers(),
+        keyring.KeyRing([], open_ring=True),
+        attempts.AttemptTracker(),
+    )
+
+
+def _announced(server: scripted_server.ScriptedServer) -> backend.Announcement:
+    return backend.parse_announcement(
+        {"service": "fees", "address": server.address, "slots": 4}
+    )
+
+
 def test_answer_that_is_sent_twice_costs_the_next_requests_nothing():
     """Guards against a duplicated answer that makes all later ones lost.
 
@@ -33,14 +49,8 @@
             scripted_server.Step(_served("c")),
         ]
         async with scripted_server.serving(*steps) as server:
-            native = handover.PlainHandover(
-                peers.Peers(),
-                keyring.KeyRing([], open_ring=True),
-                attempts.AttemptTracker(),
-            )
-            announced = backend.parse_announcement(
-                {"service": "fees", "address": server.address, "slots": 4}
-            )
+            native = _a_handover()
+            announced = _announced(server)
             for attempt_id in ("a", "b", "c"):
                 answer = await native.run(
                     announced,
@@ -53,3 +63,36 @@
             assert native.answers_discarded == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "names", "outcome"),
+    [
+        (False, True, outcomes.Outcome.NOT_RUN),
+        (False, False, outcomes.Outcome.UNKNOWN),
+        (True, False, outcomes.Outcome.NOT_RUN),
+    ],
+)
+def test_refusal_that_names_no_attempt_does_not_refuse_a_confirmation(
+    repeatable, names, outcome
+):
+    """Guards against a confirmation that is refused and runs."""
+
+    async def scenario() -> None:
+        fields = ["Burdockfront-Outcome: not-run"]
+        if names:
+            fields.append("Burdockfront-Attempt: a")
+        refusal = scripted_server.an_answer(b"", "", *fields, status="503 Full")
+        async with scripted_server.serving(
+            scripted_server.Step(refusal)
+        ) as server:
+            native = _a_handover()
+            answer = await native.run(
+                _announced(server),
+                builders.an_attempt("a", repeatable=repeatable),
+                None,
+                _LIMIT_BYTES,
+            )
+            assert answer.outcome is outcome
+
+    asyncio.run(scenario())
