--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -209,6 +209,8 @@
 
     def on_message_complete(self) -> None:
         """Ends an answer."""
+        if self._closed:
+            return
         self._message_done = True
         if self._status < 200:
             # An informational answer such as 100 Continue; the final answer
