Tests: builders of spoiled answers beside the stand-ins

The soak that is started by hand could not import them from the tests' folder. They take the answer that is replaced, so that a success with a rejection in its trailer carries the server's own body and signature.

--- a/tests/spoiled_answers.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/spoiled_answers.py
@@ -25,80 +25,88 @@
     repeated: bytes = b""
 
 
-# Returns what is sent in place of the answer to the request with this id.
-Spoiler = Callable[[str], Spoiled]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Original:
+    """The answer that is replaced."""
+
+    request_id: str
+    body: bytes = b"done"
+    signature: str = "s"
+
+
+Spoiler = Callable[[Original], Spoiled]
 
 
-def _head(request_id: str, *headers: str) -> bytes:
+def _head(original: Original, *headers: str) -> bytes:
     lines = [
         "HTTP/1.1 200 OK",
-        f"Request-Id: {request_id}",
-        "Response-Signature: s",
+        f"Request-Id: {original.request_id}",
+        f"Response-Signature: {original.signature}",
         *headers,
     ]
     return "\r\n".join(lines).encode() + b"\r\n"
 
 
 @SPOILED.register("unnamed-rejection")
-def unnamed_rejection(request_id: str) -> Spoiled:
+def unnamed_rejection(original: Original) -> Spoiled:
     """A rejection that names no request."""
     return Spoiled(_UNNAMED_REJECTION)
 
 
 @SPOILED.register("rejection-in-trailer")
-def rejection_in_trailer(request_id: str) -> Spoiled:
+def rejection_in_trailer(original: Original) -> Spoiled:
     """A success whose trailer section says that the request did not run."""
-    head = _head(request_id, "Transfer-Encoding: chunked")
-    body = b"4\r\ndone\r\n0\r\nNot-Executed: 1\r\n\r\n"
-    return Spoiled(head + b"\r\n" + body)
+    head = _head(original, "Transfer-Encoding: chunked")
+    chunk = b"%x\r\n%b\r\n" % (len(original.body), original.body)
+    return Spoiled(head + b"\r\n" + chunk + b"0\r\nNot-Executed: 1\r\n\r\n")
 
 
 @SPOILED.register("endless-head")
-def endless_head(request_id: str) -> Spoiled:
+def endless_head(original: Original) -> Spoiled:
     """A head with header after header."""
-    return Spoiled(_head(request_id), b"X-More: y\r\n" * 100)
+    return Spoiled(_head(original), b"X-More: y\r\n" * 100)
 
 
 @SPOILED.register("endless-header")
-def endless_header(request_id: str) -> Spoiled:
+def endless_header(original: Original) -> Spoiled:
     """A header whose value does not end."""
-    return Spoiled(_head(request_id) + b"X-More: ", b"y" * 4_096)
+    return Spoiled(_head(original) + b"X-More: ", b"y" * 4_096)
 
 
 @SPOILED.register("endless-body")
-def endless_body(request_id: str) -> Spoiled:
+def endless_body(original: Original) -> Spoiled:
     """A body that ends with its connection, which stays open."""
-    return Spoiled(_head(request_id) + b"\r\n", b"z" * 16_384)
+    return Spoiled(_head(original) + b"\r\n", b"z" * 16_384)
 
 
 @SPOILED.register("endless-chunks")
-def endless_chunks(request_id: str) -> Spoiled:
+def endless_chunks(original: Original) -> Spoiled:
     """A chunked body without a last chunk."""
-    head = _head(request_id, "Transfer-Encoding: chunked")
+    head = _head(original, "Transfer-Encoding: chunked")
     return Spoiled(head + b"\r\n", b"4000\r\n" + b"z" * 16_384 + b"\r\n")
 
 
 @SPOILED.register("endless-small-chunks")
-def endless_small_chunks(request_id: str) -> Spoiled:
+def endless_small_chunks(original: Original) -> Spoiled:
     """A chunked body in chunks of two bytes."""
-    head = _head(request_id, "Transfer-Encoding: chunked")
+    head = _head(original, "Transfer-Encoding: chunked")
     return Spoiled(head + b"\r\n", b"2\r\nzz\r\n" * 1_000)
 
 
 @SPOILED.register("endless-trailer")
-def endless_trailer(request_id: str) -> Spoiled:
+def endless_trailer(original: Original) -> Spoiled:
     """A trailer field whose value does not end."""
-    head = _head(request_id, "Transfer-Encoding: chunked")
+    head = _head(original, "Transfer-Encoding: chunked")
     return Spoiled(head + b"\r\n4\r\ndone\r\n0\r\nX-More: ", b"y" * 4_096)
 
 
 @SPOILED.register("endless-informational")
-def endless_informational(request_id: str) -> Spoiled:
+def endless_informational(original: Original) -> Spoiled:
     """One informational answer after the other."""
     return Spoiled(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
 
 
 @SPOILED.register("endless-unnamed")
-def endless_unnamed(request_id: str) -> Spoiled:
+def endless_unnamed(original: Original) -> Spoiled:
     """One rejection that names no request after the other."""
     return Spoiled(b"", _UNNAMED_REJECTION * 100)
--- a/tests/unit/test_answer_memory.py
+++ b/tests/unit/test_answer_memory.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from burdockfront_bench.standins import spoiled_answers
 from burdockfront_client import answer_memory
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
-from tests import spoiled_answers
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 _LIMIT_BYTES = 4_000_000
@@ -28,7 +28,7 @@
 
     async def scenario() -> None:
         memory = answer_memory.AnswerMemory(_CAPACITY_BYTES)
-        spoiled = spoiled_answers.endless_chunks("a")
+        spoiled = spoiled_answers.endless_chunks(spoiled_answers.Original("a"))
         endless = scripted_server.Step(spoiled.start, repeated=spoiled.repeated)
         body = b"b" * 500_000
         usual = scripted_server.Step(scripted_server.an_answer(body, "b"))
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from burdockfront_bench.standins import spoiled_answers
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
-from tests import spoiled_answers
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 _LIMIT_BYTES = 10_000
@@ -307,7 +307,9 @@
     """Guards against a trailer that turns a success into a rejection."""
 
     async def scenario() -> None:
-        spoiled = spoiled_answers.rejection_in_trailer("a")
+        spoiled = spoiled_answers.rejection_in_trailer(
+            spoiled_answers.Original("a")
+        )
         step = scripted_server.Step(spoiled.start)
         async with scripted_server.serving(step) as server:
             answer = await _request(pool_lib.Pool(server.address), "a")
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from burdockfront_bench.standins import spoiled_answers
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
-from tests import spoiled_answers
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 _LIMIT_BYTES = 4_000_000
@@ -26,7 +26,9 @@
     """Guards against a server that occupies a node until the deadline."""
 
     async def scenario() -> None:
-        spoiled = spoiled_answers.SPOILED.get(kind)("a")
+        spoiled = spoiled_answers.SPOILED.get(kind)(
+            spoiled_answers.Original("a")
+        )
         step = scripted_server.Step(spoiled.start, repeated=spoiled.repeated)
         async with scripted_server.serving(step) as server:
             pool = pool_lib.Pool(server.address)
