--- a/tests/unit/test_answer_memory.py
+++ b/tests/unit/test_answer_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from burdockfront_bench.standins import spoiled_answers
+from burdockfront_bench.standins import faulty_answers
 from burdockfront_client import answer_memory
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import http_messages
@@ -28,8 +28,8 @@
 
     async def scenario() -> None:
         memory = answer_memory.AnswerMemory(_CAPACITY_BYTES)
-        spoiled = spoiled_answers.endless_chunks(spoiled_answers.Original("a"))
-        endless = scripted_server.Step(spoiled.start, repeated=spoiled.repeated)
+        faulty = faulty_answers.endless_chunks(faulty_answers.Original("a"))
+        endless = scripted_server.Step(faulty.start, repeated=faulty.repeated)
         body = b"b" * 500_000
         usual = scripted_server.Step(scripted_server.an_answer(body, "b"))
         async with (
--- a/tests/unit/test_connection.py
+++ b/tests/unit/test_connection.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from burdockfront_bench.standins import spoiled_answers
+from burdockfront_bench.standins import faulty_answers
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import http_messages
 from burdockfront_client import pool as pool_lib
@@ -307,10 +307,10 @@
     """Guards against a trailer that turns a success into a rejection."""
 
     async def scenario() -> None:
-        spoiled = spoiled_answers.rejection_in_trailer(
-            spoiled_answers.Original("a")
+        faulty = faulty_answers.rejection_in_trailer(
+            faulty_answers.Original("a")
         )
-        step = scripted_server.Step(spoiled.start)
+        step = scripted_server.Step(faulty.start)
         async with scripted_server.serving(step) as server:
             answer = await _request(pool_lib.Pool(server.address), "a")
             assert answer.body == b"done"
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from burdockfront_bench.standins import spoiled_answers
+from burdockfront_bench.standins import faulty_answers
 from burdockfront_client import connection as connection_lib
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
@@ -17,7 +17,7 @@
 # bytes in socket buffers count as sent.
 _MOST_SENT_BYTES = 16_000_000
 _ENDLESS = sorted(
-    name for name in spoiled_answers.SPOILED.names() if "endless" in name
+    name for name in faulty_answers.KINDS.names() if "endless" in name
 )
 
 
@@ -26,10 +26,8 @@
     """Guards against a server that occupies a node until the deadline."""
 
     async def scenario() -> None:
-        spoiled = spoiled_answers.SPOILED.get(kind)(
-            spoiled_answers.Original("a")
-        )
-        step = scripted_server.Step(spoiled.start, repeated=spoiled.repeated)
+        faulty = faulty_answers.KINDS.get(kind)(faulty_answers.Original("a"))
+        step = scripted_server.Step(faulty.start, repeated=faulty.repeated)
         async with scripted_server.serving(step) as server:
             pool = pool_lib.Pool(server.address)
             began_s = time.monotonic()
