--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -136,8 +136,8 @@
     """All settings of a node.
 
     Attributes:
-        memory_mb: Memory that this process may use, in megabytes; None if it is
-            not known.
+        memory_mb: Memory that this process may use, in megabytes; None or 0 if
+            it is not known.
     """
 
     node_id: _Name
@@ -155,7 +155,7 @@
     gossip: GossipSettings = GossipSettings()
     drain: DrainSettings = DrainSettings()
     ticket_lifetime_s: float = pydantic.Field(default=900.0, ge=10, le=86_400)
-    memory_mb: float | None = pydantic.Field(default=None, ge=64)
+    memory_mb: float | None = pydantic.Field(default=None, ge=0)
     ledger_bytes: int = pydantic.Field(default=64_000_000, ge=100_000)
     events: int = pydantic.Field(default=20_000, ge=100, le=1_000_000)
     trace_share: float = pydantic.Field(default=1.0, ge=0.0, le=1.0)
@@ -169,7 +169,7 @@
     @property
     def incomplete_answers_bytes(self) -> int:
         """Limit on the answers that are being received, all together."""
-        if self.memory_mb is None:
+        if not self.memory_mb:
             return answer_memory.DEFAULT_CAPACITY_BYTES
         return round(self.memory_mb * _BYTES_PER_MB * _INCOMPLETE_ANSWERS_SHARE)
 
