ctl: why says how the answer to a request was lost

An operator who asks why a request ended unknown sees what the backend server sent in place of its answer. _describe_outcome is split by what it explains.

--- a/packages/burdockfront-ctl/src/burdockfront_ctl/explanations.py
+++ b/packages/burdockfront-ctl/src/burdockfront_ctl/explanations.py
@@ -10,6 +10,7 @@
 from burdockfront_ctl import render
 
 _NODE_EVENT_KINDS = ("backend", "node", "operator", "key")
+_LOST_ANSWER_KINDS = ("backend.answer-lost", "backend.answer-unnamed")
 _REASONS = {
     "overload": "the guard's queue was full or its level was below the "
     "request's priority: the backend servers of this service are saturated",
@@ -87,27 +88,42 @@
             f"class that this entry refused alike within a quarter of a second"
         )
     if refused:
-        last = refused[-1]
-        detail = last.detail
+        text += _describe_refusal(refused[-1])
+    lost = [e for e in found if e.kind in _LOST_ANSWER_KINDS]
+    if lost:
+        text += _describe_lost_answer(lost[-1])
+    return text + "."
+
+
+def _describe_refusal(event: timeline.Event) -> str:
+    detail = event.detail
+    text = (
+        f". Last refused by {event.node} for {detail['service']}: "
+        f"{detail['reason']}, priority {detail['priority']} with the "
+        f"guard's level at {detail['level']}"
+    )
+    # Nodes of an earlier version do not record the following.
+    if detail.get("bottleneck"):
         text += (
-            f". Last refused by {last.node} for {detail['service']}: "
-            f"{detail['reason']}, priority {detail['priority']} with the "
-            f"guard's level at {detail['level']}"
+            f", and the lowest level of its path, {detail['path_level']}, "
+            f"that of {detail['bottleneck']}; see 'show levels'"
         )
-        # Nodes of an earlier version do not record the following.
-        if detail.get("bottleneck"):
-            text += (
-                f", and the lowest level of its path, {detail['path_level']}, "
-                f"that of {detail['bottleneck']}; see 'show levels'"
-            )
-        if detail.get("over_share"):
-            short = ", ".join(detail["short_services"])
-            text += (
-                f". Its client account asks for {detail['over_share']} times "
-                f"its fair share of {short or detail['service']}, which is "
-                f"short of slots; see 'show shares'"
-            )
-    return text + "."
+    if detail.get("over_share"):
+        short = ", ".join(detail["short_services"])
+        text += (
+            f". Its client account asks for {detail['over_share']} times "
+            f"its fair share of {short or detail['service']}, which is "
+            f"short of slots; see 'show shares'"
+        )
+    return text
+
+
+def _describe_lost_answer(event: timeline.Event) -> str:
+    why = event.detail.get("why", "its answer named no request")
+    return (
+        f". The backend server of {event.node} had it, but its answer was "
+        f"lost: {why.rstrip('.')}"
+    )
 
 
 async def _why_class(
