--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,96 +1,164 @@
-"""A request with an `Upgrade` header runs with an empty body."""
+"""A node that stops cuts answers that its clients are still reading."""
 
 import asyncio
+import dataclasses
 import pathlib
+import signal
+import socket
 import sys
+import time
 import uuid
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 
 import case  # noqa: E402
-import http1  # noqa: E402
 import nodes  # noqa: E402
 
-LAYOUT = [("zone-a", "seats"), ("zone-b", "shop")]
-# Clients are at the second machine, so that requests pass two nodes, and at
-# the first, where they pass one.
-CLIENTS_AT = (1, 0)
-REQUESTS = 20
-# What HTTP/1.1 clients send that offer HTTP/2 over plain text (RFC 7540, 3.2).
-# These headers concern only the one connection; a server that doesn't switch
-# answers as if they weren't there (RFC 9110, 7.8).
-UPGRADE = (
-    "Connection: Upgrade, HTTP2-Settings\r\n"
-    "Upgrade: h2c\r\n"
-    "HTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\n"
-)
-
-
-def request_of(request_id: str, body: bytes, chunked: bool, more: str) -> bytes:
-    """Returns an encoded confirmation."""
-    head = (
-        "POST /seat/book HTTP/1.1\r\nHost: site.example\r\n"
-        f"Request-Id: {request_id}\r\nDeadline-Ms: 3000\r\n{more}"
+LAYOUT = [("zone-a", "packs"), ("zone-b", "shop")]
+# The machine whose clients read slowly, and which is stopped.
+STOPPED = 1
+CLIENTS = 6
+ANSWER_BYTES = 600_000
+WORK_S = 2.4
+# At 300 KB/s a client has the whole answer after two seconds.
+READ_BYTES = 15_000
+READ_EVERY_S = 0.05
+DEADLINE_S = 8.0
+TIMEOUT_S = 10.0
+SIGTERM_AFTER_S = 0.2
+GRACE_S = nodes.BOUNDS["grace_s"]
+# The segment size of an Ethernet link. On loopback it is 64 KB, and the kernel
+# would buffer megabytes of an answer.
+SEGMENT_BYTES = 1460
+RECEIVE_BUFFER_BYTES = 32_768
+
+
+@dataclasses.dataclass
+class Download:
+    """A request and what came back."""
+
+    request_id: str
+    sent_s: float = 0.0
+    first_byte_s: float = 0.0
+    ended_s: float = 0.0
+    status: int = 0
+    expected_bytes: int = -1
+    got_bytes: int = 0
+    how: str = ""
+
+    @property
+    def is_whole(self) -> bool:
+        return self.got_bytes == self.expected_bytes
+
+
+async def download(place: nodes.Place, found: Download) -> None:
+    """Sends one request and reads its answer slowly."""
+    loop = asyncio.get_running_loop()
+    client = socket.socket()
+    client.setblocking(False)
+    client.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
     )
-    if not chunked:
-        head += f"Content-Length: {len(body)}\r\n\r\n"
-        return head.encode() + body
-    framed = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
-    return f"{head}Transfer-Encoding: chunked\r\n\r\n".encode() + framed
-
-
-async def send(address: str, request: bytes) -> int:
-    """Sends a request on a new connection; returns the status."""
-    host, _, port = address.rpartition(":")
-    async with asyncio.timeout(5.0):
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(request)
-            head = await reader.readuntil(b"\r\n\r\n")
-            return int(head.split(b" ")[1])
-        finally:
-            writer.transport.abort()
+    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    host, _, port = place.address("outbound").rpartition(":")
+    await loop.sock_connect(client, (host, int(port)))
+    found.sent_s = time.monotonic()
+    await loop.sock_sendall(
+        client,
+        f"GET /pack/{found.request_id} HTTP/1.1\r\nHost: site.example\r\n"
+        f"Request-Id: {found.request_id}\r\n"
+        f"Deadline-Ms: {DEADLINE_S * 1000:.0f}\r\n\r\n".encode(),
+    )
+    head = b""
+    try:
+        while b"\r\n\r\n" not in head:
+            head += await loop.sock_recv(client, READ_BYTES)
+        found.first_byte_s = time.monotonic()
+        text, _, rest = head.partition(b"\r\n\r\n")
+        found.status = int(text.split(b" ")[1])
+        for line in text.decode("latin-1").split("\r\n"):
+            name, _, value = line.partition(":")
+            if name.lower() == "content-length":
+                found.expected_bytes = int(value)
+        found.got_bytes = len(rest)
+        while found.got_bytes < found.expected_bytes:
+            await asyncio.sleep(READ_EVERY_S)
+            piece = await loop.sock_recv(client, READ_BYTES)
+            if not piece:
+                found.how = "closed early"
+                break
+            found.got_bytes += len(piece)
+    except OSError as error:
+        found.how = repr(error)
+    finally:
+        found.ended_s = time.monotonic()
+        client.close()
 
 
 async def body(deployment: case.Deployment) -> bool:
     record = deployment.record
-    config = nodes.configuration(
-        [nodes.route("seat", "seats", "non_idempotent")], ["seats", "shop"]
+    route = nodes.route("pack", "packs", "download", timeout_s=TIMEOUT_S)
+    config = nodes.configuration([route], ["packs", "shop"])
+    await deployment.open(
+        LAYOUT,
+        config,
+        nodes.BOUNDS,
+        work_s=WORK_S,
+        answer_bytes=ANSWER_BYTES,
     )
-    await deployment.open(LAYOUT, config, nodes.BOUNDS)
-    received: dict[str, bytes] = {}
-    for upstream in deployment.upstreams:
-        upstream.on_run = lambda request: received.update(
-            {request.headers["request-id"]: request.body}
-        )
-    sent: dict[str, bytes] = {}
-    statuses: dict[str, int] = {}
-    for number in range(REQUESTS):
-        request_id = uuid.uuid4().hex[:16]
-        sent[request_id] = f'{{"seat": {number}, "fee": 1200}}'.encode()
-        request = request_of(
-            request_id,
-            sent[request_id],
-            chunked=number % 4 >= 2,
-            more=UPGRADE if deployment.trouble else "",
+    await asyncio.sleep(nodes.BOUNDS["stable_window_s"] + 1.0)
+    node = deployment.nodes[STOPPED]
+    downloads = [Download(uuid.uuid4().hex[:16]) for _ in range(CLIENTS)]
+    tasks = [
+        asyncio.create_task(download(node.place, found)) for found in downloads
+    ]
+    while not all(found.sent_s for found in downloads):
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(SIGTERM_AFTER_S)
+    term_s = time.monotonic()
+    if deployment.trouble:
+        record.write(f"SIGTERM to {node.place.name}", term_s)
+        node.send(signal.SIGTERM)
+        if await node.ended(GRACE_S):
+            took_s = time.monotonic() - term_s
+            record.write(f"it ended by itself {took_s:.2f} s later")
+        else:
+            record.write(f"SIGKILL, grace_s = {GRACE_S} s are over")
+            node.kill()
+    await asyncio.gather(*tasks)
+    return judge(deployment, downloads, term_s)
+
+
+def judge(
+    deployment: case.Deployment, downloads: list[Download], term_s: float
+) -> bool:
+    record = deployment.record
+    ran = {
+        arrival.request_id
+        for upstream in deployment.upstreams
+        for arrival in upstream.arrivals
+    }
+    lost = 0
+    for found in downloads:
+        took_s = found.ended_s - found.sent_s
+        counts = (
+            found.request_id in ran
+            and not found.is_whole
+            and took_s < min(DEADLINE_S, TIMEOUT_S)
+            and found.ended_s <= term_s + GRACE_S + 1.0
         )
-        place = deployment.nodes[CLIENTS_AT[number % 2]].place
-        statuses[request_id] = await send(place.address("outbound"), request)
-    changed = 0
-    for request_id, expected in sent.items():
-        ran = received.get(request_id)
-        differs = ran is not None and ran != expected
-        changed += differs
+        lost += counts
         record.write(
-            f"{request_id}: sent with body {expected!r}, ran with {ran!r}, "
-            f"answered {statuses[request_id]}{' CHANGED' if differs else ''}"
+            f"{found.request_id}: "
+            f"{'ran' if found.request_id in ran else 'did not run'}, answered "
+            f"{found.status}, {found.got_bytes} of {found.expected_bytes} "
+            f"bytes, {found.how or 'whole'} {took_s:.2f} s after it was sent, "
+            f"{found.ended_s - term_s:.2f} s after the SIGTERM"
+            f"{' LOST' if counts else ''}"
         )
-    missing = len(sent) - len(received)
-    record.write(f"{len(sent)} sent, {missing} not run, {changed} changed")
-    if missing:
-        raise RuntimeError("some requests didn't run; nothing is proved")
-    return changed > 0
+    record.write(f"{lost} of {len(downloads)} answers were cut")
+    return lost > 0
 
 
 case.run(FOLDER, body)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # stand-ins need Python 3.11 and its standard library only, so there is nothing
 # to build; this checks that they compile and that the deploy build has run.
 cd "$(dirname "$0")/.." || exit 1
-python3 -B - review/lib-2/*.py review/4/case.py review/5/case.py review/6/case.py <<'EOF' || exit 1
+python3 -B - review/lib-2/*.py review/[456]/case.py <<'EOF' || exit 1
 import pathlib
 import sys
 
