Name the answers that arrive on idle connections

The line backend.answer-discarded then had neither id nor status (status 0), so the logs could not tell a copy (H1) from two attempts at the same time (H2). Now such bytes are parsed as far as they have arrived, and the line names their request and status if the head is complete. The connection is closed as before.

--- a/packages/burdockfront-client/src/burdockfront_client/answer_assembly.py
+++ b/packages/burdockfront-client/src/burdockfront_client/answer_assembly.py
@@ -116,6 +116,15 @@
         if not framed and self._status not in _NO_BODY:
             self.on_message_complete()
 
+    def incomplete_answer(self) -> http_messages.RawAnswer | None:
+        """Returns an answer with a complete head, and the body so far.
+
+        None if no answer has begun, or if its head is incomplete.
+        """
+        if not self._headers_done or self._message_done:
+            return None
+        return self._answer()
+
     def abandon(self) -> None:
         """Drops an incomplete answer, and stops the parser."""
         self._abandoned = True
@@ -194,12 +203,7 @@
         self._message_done = True
         if not self._parser.should_keep_alive():
             self.keeps_alive = False
-        answer = http_messages.RawAnswer(
-            self._status,
-            tuple(self._headers),
-            bytes(self._body),
-            not self._is_answered,
-        )
+        answer = self._answer()
         self._is_answered = True
         if not self._on_answer(answer):
             self._skip_answer()
@@ -219,6 +223,14 @@
         self._bytes_after_head = 0
         self._message_done = False
 
+    def _answer(self) -> http_messages.RawAnswer:
+        return http_messages.RawAnswer(
+            self._status,
+            tuple(self._headers),
+            bytes(self._body),
+            not self._is_answered,
+        )
+
     def _skip_answer(self) -> None:
         """Counts an answer that is not the awaited one."""
         self._skipped_answers += 1
--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -56,7 +56,7 @@
     Args:
         on_discarded: Called with each answer that belongs to no pending
             request, and with None for bytes that arrive while no request is
-            pending.
+            pending and do not begin with the head of an answer.
         memory: Bounds the answers that connections are receiving; None: no
             bound but that on each answer.
 
@@ -88,6 +88,7 @@
         self._pending: _PendingRequest | None = None
         self._reusable = True
         self._closed = False
+        self._discarded = 0
 
     # ---- asyncio.Protocol ------------------------------------------------
 
@@ -101,7 +102,7 @@
         if self._pending is None:
             # No request is pending, so these bytes belong to none.
             if not self._closed:
-                self._discard(None)
+                self._discard_unawaited(data)
             self.close()
             return
         self._assembler.feed(data)
@@ -220,9 +221,21 @@
         if len(self.failed_requests) >= MAX_FAILED_REQUESTS:
             self._reusable = False
 
+    def _discard_unawaited(self, data: bytes) -> None:
+        """Drops bytes that arrive while no request is pending.
+
+        If they begin with the head of an answer, it is passed on: its id and
+        status show which request the server has answered once more.
+        """
+        before = self._discarded
+        self._assembler.feed(data)
+        if self._discarded == before:
+            self._discard(self._assembler.incomplete_answer())
+
     def _discard(self, answer: http_messages.RawAnswer | None) -> None:
         """Drops an answer, or bytes, and stops the reuse of the connection."""
         self._reusable = False
+        self._discarded += 1
         if self._on_discarded is not None:
             self._on_discarded(answer)
 
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -7,6 +7,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+_PAUSE_S = 0.05
+
 
 @dataclasses.dataclass(slots=True)
 class ScriptedServer:
@@ -37,12 +39,15 @@
             connection.
         repeated: Bytes that follow `data` until the other side closes the
             connection; empty: none.
+        later: Bytes that follow `data` after a pause, while no request is
+            pending.
     """
 
     data: bytes
     then: str = "keep"
     late: bytes = b""
     repeated: bytes = b""
+    later: bytes = b""
 
 
 @asynccontextmanager
@@ -64,6 +69,9 @@
                 writer.write(late + step.data)
                 late = step.late
                 await writer.drain()
+                if step.later:
+                    await asyncio.sleep(_PAUSE_S)
+                    writer.write(step.later)
                 while step.repeated:
                     writer.write(step.repeated)
                     scripted.repeated_bytes += len(step.repeated)
