Send a request that must run once to each server at most once

A copy of the rejection that reaches the connection of the repeat bears the id of the repeat. The connection of the rejected attempt is avoided since, but nothing says that a copy arrives there.

Change: where answers name only the request, routers send such a call to another server, and refuse it when there is none, without spending a retry. The guard remembers what its server has rejected until some time after the deadline and doesn't hand it over again, which also holds for nodes of earlier builds. An answer with the id can then come from one hand-over only, so it belongs to it, whichever connection it arrives on. If the guard ends, the router still knows whom it has asked; if the router ends, nobody repeats.

--- a/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/site_model/nodes.py
@@ -198,6 +198,7 @@
             self._rng,
             retry_burst=self._retry_burst,
             waits_past_deadline=True,
+            answers_name_attempts=False,
         )
         router = self.dispatcher.router
         lineage = lineage_lib.Lineage(
--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -45,6 +45,7 @@
         retry_burst: Retries of a service that are permitted before any are
             earned.
         waits_past_deadline: See `sender.Sender`.
+        answers_name_attempts: See `retry_decisions.RetryDecisions`.
 
     Attributes:
         observer: Called with each call and its final answer, where contexts are
@@ -68,6 +69,7 @@
         source_ip: str | None = None,
         retry_burst: float = allowance_lib.DEFAULT_BURST,
         waits_past_deadline: bool = False,
+        answers_name_attempts: bool = True,
     ):
         self.observer: Callable[[calls.Call, outcomes.Answer], None] | None
         self.observer = None
@@ -91,7 +93,11 @@
         self._ticket_lifetime_s = ticket_lifetime_s
         self._rng = rng
         self._retry_decisions = retry_decisions.RetryDecisions(
-            policy_of, self.counters, retry_burst
+            policy_of,
+            self.counters,
+            retry_burst,
+            answers_name_attempts,
+            lambda service: len(self.router.targets_of(service)),
         )
 
     @property
@@ -286,6 +292,8 @@
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
             )
         if len(progress.handed) >= call.max_backends:
+            if not self._retry_decisions.may_ask_again(call):
+                return self._no_target(call, progress)
             return self._last_guard(call, progress)
         tried = frozenset(progress.tried)
         class_name = call.context.class_name
--- a/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
+++ b/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
@@ -10,9 +10,13 @@
 |                        |                     | a new ticket   |          |
 | rejected by the        | send again (retry   | the same, with | return   |
 | backend server         | ratio)              | a new ticket   |          |
+|                        |                     | (*)            |          |
 | sent, answer lost      | retry (allowance)   | ask the same owner again  |
 |                        |                     | (allowance)               |
 
+(*) Where answers name the request but not the attempt, to another server only;
+see `RetryDecisions.may_ask_again`.
+
 A final refusal is `not-run` only if no attempt of the call can have run; after
 a lost answer it is `unknown`.
 """
@@ -81,6 +85,11 @@
     refusal: outcomes.Answer | None = None
 
 
+def _unlimited(service: str) -> int:
+    """Returns more servers than any service has."""
+    return calls.UNLIMITED_BACKENDS
+
+
 class RetryDecisions:
     """Decides after each attempt, within the limits on retries.
 
@@ -89,6 +98,9 @@
         counters: Totals to update.
         retry_burst: Retries of a service that are permitted before any are
             earned.
+        answers_name_attempts: Whether answers of backend servers name the
+            attempt, not only the request.
+        servers_of: Returns the number of known servers of a service.
     """
 
     def __init__(
@@ -96,7 +108,11 @@
         policy_of: Callable[[str], policy_lib.Policy],
         counters: calls.Counters,
         retry_burst: float,
+        answers_name_attempts: bool = True,
+        servers_of: Callable[[str], int] = _unlimited,
     ):
+        self._answers_name_attempts = answers_name_attempts
+        self._servers_of = servers_of
         self._policy_of = policy_of
         self.counters = counters
         self._retry_burst = retry_burst
@@ -187,6 +203,8 @@
         if self._retry_kind(call.service).retries_refusals:
             if self.may_retry(call, progress):
                 progress.tried.clear()
+                if not self.may_ask_again(call):
+                    progress.tried |= progress.handed
                 return None
             return refusal
         if refusal.reason in _BACKEND_REFUSALS:
@@ -204,22 +222,43 @@
         """Sends a call again that the backend server itself rejected.
 
         The server received the request, so another attempt adds load like a
-        retry and is limited like one. The same server may be chosen again: a
-        server that rejects a share of all requests regardless of its load is as
-        likely to accept the next one as any other, and is nearer.
+        retry and is limited like one. The same server may be chosen again, if
+        the call allows it: a server that rejects a share of all requests
+        regardless of its load is as likely to accept the next one as any other,
+        and is nearer.
         """
         if progress.rejections >= _MAX_REJECTIONS:
             return refusal
+        asks_again = self.may_ask_again(call)
+        if not asks_again and self._all_asked(call, progress):
+            return refusal
         ratio = self._ratio(call.service)
         if not ratio.retry(time.monotonic(), call.context.priority):
             return refusal
         progress.rejections += 1
         self.counters.reroutes += 1
-        if refusal.reason is outcomes.Reason.REJECTED:
+        if refusal.reason is outcomes.Reason.REJECTED and asks_again:
             assert progress.last is not None
             progress.tried.discard(progress.last.node_id)
         return None
 
+    def may_ask_again(self, call: calls.Call) -> bool:
+        """Whether a server that has rejected a call may receive it again.
+
+        A server may send its rejection twice. Where answers name only the
+        request, the second copy can't be told from the answer to a repeat that
+        the server runs, whichever connection it arrives on. A call that must
+        not run twice therefore goes to each server at most once.
+        """
+        return call.idempotent or self._answers_name_attempts
+
+    def _all_asked(self, call: calls.Call, progress: Progress) -> bool:
+        """Whether no server is left that may receive the call."""
+        asked = len(progress.handed)
+        if asked >= call.max_backends:
+            return True
+        return asked >= self._servers_of(call.service)
+
     def may_retry(self, call: calls.Call, progress: Progress) -> bool:
         """Consumes the cost of a retry, or returns False if not permitted."""
         now_s = time.monotonic()
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -183,6 +183,7 @@
             self._source_ip,
             self._retry_burst(),
             waits_past_deadline=settings.routed is not None,
+            answers_name_attempts=settings.routed is None,
         )
         self._quarantine = quarantine_lib.Quarantine(
             self._boot_id,
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -3,6 +3,10 @@
 The server gets the caller's request with the headers of this attempt, in the
 dialect of the environment. Its answer is accepted only if it carries the id of
 the request and is marked as complete.
+
+The id is that of the request, the same for each attempt. So a request that must
+not run twice is handed over only until the server has rejected it once: see
+`rejected_requests`.
 """
 
 import time
@@ -22,6 +26,7 @@
 from burdockfront_node import adapters
 from burdockfront_node import backend as backend_lib
 from burdockfront_node import backend_load as backend_load_lib
+from burdockfront_node import rejected_requests
 
 # Time after the deadline for the backend server's own answer to arrive; the
 # server is on the same VM. The calling node waits slightly longer.
@@ -55,6 +60,7 @@
         memory: answer_memory.AnswerMemory | None = None,
     ):
         self.answers_discarded = 0
+        self._rejected = rejected_requests.RejectedRequests()
         self._memory = memory
         self._recorder = recorder
         self._backend_load = backend_load
@@ -90,6 +96,10 @@
             return outcomes.not_run(
                 outcomes.Reason.DEADLINE, admission.RETRY_AFTER_S
             )
+        if not attempt.call.idempotent and self._was_rejected(attempt, sent_s):
+            return outcomes.not_run(
+                outcomes.Reason.REJECTED, admission.RETRY_AFTER_S
+            )
         pool = self._pool_of(announced.address, current)
         terms = adapters.BackendTerms(
             remaining_s,
@@ -131,9 +141,29 @@
                 status=answer.status,
             )
             return outcomes.unknown(outcomes.Reason.LOST_ANSWER)
-        return self._evaluate(
+        evaluated = self._evaluate(
             answer, current.instance_id, announced.incarnation, sent_s
         )
+        refused = evaluated.outcome is outcomes.Outcome.NOT_RUN
+        if refused and not attempt.call.idempotent:
+            self._rejected.add(
+                attempt.context.request_id, attempt.call.deadline_s
+            )
+        return evaluated
+
+    def _was_rejected(self, attempt: calls.Attempt, now_s: float) -> bool:
+        """Whether the server has rejected an earlier attempt of a request."""
+        request_id = attempt.context.request_id
+        if not self._rejected.contains(request_id, now_s):
+            return False
+        self._recorder.record(
+            time.time(),
+            "call.not-repeated",
+            request_id,
+            attempt=attempt.context.attempt_id,
+            service=attempt.call.service,
+        )
+        return True
 
     def _pool_of(
         self, address: str, current: incarnations_lib.Heartbeat
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from typing import Any
 
 from burdockfront import accounts
 from burdockfront import admission
@@ -173,7 +174,7 @@
 
 
 def a_dispatcher(
-    recorder: timeline.Recorder | None = None,
+    recorder: timeline.Recorder | None = None, **settings: Any
 ) -> dispatcher.Dispatcher:
     return dispatcher.Dispatcher(
         "n1",
@@ -183,4 +184,5 @@
         recorder or timeline.Recorder("n1", "dc1", 100),
         900.0,
         random.Random(1),
+        **settings,
     )
