--- a/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
+++ b/packages/burdockfront-client/src/burdockfront_client/dispatcher.py
@@ -20,6 +20,7 @@
 from burdockfront import routing
 from burdockfront import tickets
 from burdockfront import timeline
+from burdockfront_client import call_progress
 from burdockfront_client import calls
 from burdockfront_client import retry_decisions
 from burdockfront_client import sender as sender_lib
@@ -168,9 +169,9 @@
         if not self.router.knows(call.service):
             # No state is kept for an unknown service: callers can invent any
             # number of names.
-            progress = retry_decisions.Progress(lost=call.ticket is not None)
+            progress = call_progress.Progress(lost=call.ticket is not None)
             return _return(
-                retry_decisions.downgrade_unproven(
+                call_progress.downgrade_unproven(
                     self._no_target(call, progress), progress
                 )
             )
@@ -181,29 +182,29 @@
 
     async def _call_any_guard(self, call: calls.Call) -> outcomes.Answer:
         """Sends a call that any guard may answer, to one guard at a time."""
-        progress = retry_decisions.Progress()
+        progress = call_progress.Progress()
         while True:
             target = self._choose(call, progress)
             if isinstance(target, outcomes.Answer):
-                return retry_decisions.downgrade_unproven(target, progress)
+                return call_progress.downgrade_unproven(target, progress)
             progress.tried.add(target.node_id)
             progress.last = target
             if call.idempotent:
                 result = await self._send(call, target, None)
             else:
                 result = await self._send_once(call, target, progress)
-            if retry_decisions.may_have_arrived(result):
+            if call_progress.may_have_arrived(result):
                 call.arrivals += 1
                 progress.handed.add(target.node_id)
             final = self._retry_decisions.decide(call, result, progress)
             if final is not None:
-                return retry_decisions.downgrade_unproven(final, progress)
+                return call_progress.downgrade_unproven(final, progress)
 
     async def _send_once(
         self,
         call: calls.Call,
         target: guards.Target,
-        progress: retry_decisions.Progress,
+        progress: call_progress.Progress,
     ) -> calls.AttemptResult:
         """Sends a call that must run at most once, with a newly minted ticket.
 
@@ -230,7 +231,7 @@
         Only the owner's answer can prove `not-run` here: an earlier attempt
         with the same ticket may still be running at the owner.
         """
-        progress = retry_decisions.Progress()
+        progress = call_progress.Progress()
         max_owners = 1 + self._policy_of(call.service).retry.reroutes
         for _ in range(max_owners):
             owner = self.router.find(call.service, ticket.owner)
@@ -249,7 +250,7 @@
         call: calls.Call,
         owner: guards.Target,
         ticket: tickets.Ticket,
-        progress: retry_decisions.Progress,
+        progress: call_progress.Progress,
     ) -> outcomes.Answer:
         while True:
             result = await self._send(call, owner, ticket)
@@ -284,7 +285,7 @@
         return result
 
     def _choose(
-        self, call: calls.Call, progress: retry_decisions.Progress
+        self, call: calls.Call, progress: call_progress.Progress
     ) -> guards.Target | outcomes.Answer:
         now_s = time.monotonic()
         if call.deadline_s - now_s <= retry_decisions.MIN_REMAINING_S:
@@ -318,7 +319,7 @@
         return target
 
     def _last_guard(
-        self, call: calls.Call, progress: retry_decisions.Progress
+        self, call: calls.Call, progress: call_progress.Progress
     ) -> guards.Target | outcomes.Answer:
         """Returns the last guard, for a call that reached `max_backends`."""
         last = progress.last
@@ -342,7 +343,7 @@
         )
 
     def _no_target(
-        self, call: calls.Call, progress: retry_decisions.Progress
+        self, call: calls.Call, progress: call_progress.Progress
     ) -> outcomes.Answer:
         if progress.refusal is not None:
             return progress.refusal
--- a/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
+++ b/packages/burdockfront-client/src/burdockfront_client/retry_decisions.py
@@ -21,16 +21,15 @@
 a lost answer it is `unknown`.
 """
 
-import dataclasses
 import time
 from collections.abc import Callable
 
 from burdockfront import admission
 from burdockfront import allowance as allowance_lib
-from burdockfront import guards
 from burdockfront import outcomes
 from burdockfront import policy as policy_lib
 from burdockfront import retries
+from burdockfront_client import call_progress
 from burdockfront_client import calls
 
 # Less remaining time than this counts as none: an answer takes longer.
@@ -54,35 +53,6 @@
         outcomes.Reason.QUARANTINED,
     ]
 )
-_BACKEND_REFUSALS = frozenset(
-    [outcomes.Reason.REJECTED, outcomes.Reason.OTHER_INCARNATION]
-)
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """State of one call over its attempts.
-
-    Attributes:
-        tried: Guards that should not be chosen again.
-        handed: Guards whose backend server received, or may have received, the
-            call.
-        last: Guard of the last attempt.
-        rejections: How often the call was sent again after a rejection.
-        reroutes: How often the call was rerouted after another refusal.
-        hop_retries: Retries of this call that the retry policy permitted.
-        lost: Whether an attempt may have run without a known result.
-        refusal: The last answer that proves that an attempt did not run.
-    """
-
-    tried: set[str] = dataclasses.field(default_factory=set)
-    handed: set[str] = dataclasses.field(default_factory=set)
-    last: guards.Target | None = None
-    rejections: int = 0
-    reroutes: int = 0
-    hop_retries: int = 0
-    lost: bool = False
-    refusal: outcomes.Answer | None = None
 
 
 def _unlimited(service: str) -> int:
@@ -157,7 +127,10 @@
             self._early_refusals[service] = (known[0], known[1] + 1)
 
     def decide(
-        self, call: calls.Call, result: calls.AttemptResult, progress: Progress
+        self,
+        call: calls.Call,
+        result: calls.AttemptResult,
+        progress: call_progress.Progress,
     ) -> outcomes.Answer | None:
         """Returns the final answer, or None if another attempt follows."""
         if result.delivery is calls.Delivery.UNREACHED:
@@ -177,7 +150,10 @@
         return self._after_done(call, result.answer, progress)
 
     def _after_loss(
-        self, call: calls.Call, lost: outcomes.Answer, progress: Progress
+        self,
+        call: calls.Call,
+        lost: outcomes.Answer,
+        progress: call_progress.Progress,
     ) -> outcomes.Answer | None:
         progress.lost = True
         if call.idempotent and self.may_retry(call, progress):
@@ -185,7 +161,10 @@
         return lost
 
     def _after_done(
-        self, call: calls.Call, answer: outcomes.Answer, progress: Progress
+        self,
+        call: calls.Call,
+        answer: outcomes.Answer,
+        progress: call_progress.Progress,
     ) -> outcomes.Answer | None:
         if answer.status < 500:
             return answer
@@ -195,7 +174,10 @@
         return answer
 
     def _after_refusal(
-        self, call: calls.Call, refusal: outcomes.Answer, progress: Progress
+        self,
+        call: calls.Call,
+        refusal: outcomes.Answer,
+        progress: call_progress.Progress,
     ) -> outcomes.Answer | None:
         """Reroutes a call that provably did not run, within a limit."""
         progress.refusal = refusal
@@ -207,7 +189,7 @@
                     progress.tried |= progress.handed
                 return None
             return refusal
-        if refusal.reason in _BACKEND_REFUSALS:
+        if refusal.reason in call_progress.BACKEND_REFUSALS:
             return self._after_rejection(call, refusal, progress)
         within_limit = progress.reroutes < retry_policy.reroutes
         if within_limit and refusal.reason not in _SAME_EVERYWHERE:
@@ -217,7 +199,10 @@
         return refusal
 
     def _after_rejection(
-        self, call: calls.Call, refusal: outcomes.Answer, progress: Progress
+        self,
+        call: calls.Call,
+        refusal: outcomes.Answer,
+        progress: call_progress.Progress,
     ) -> outcomes.Answer | None:
         """Sends a call again that the backend server itself rejected.
 
@@ -252,14 +237,18 @@
         """
         return call.idempotent or self._answers_name_attempts
 
-    def _all_asked(self, call: calls.Call, progress: Progress) -> bool:
+    def _all_asked(
+        self, call: calls.Call, progress: call_progress.Progress
+    ) -> bool:
         """Whether no server is left that may receive the call."""
         asked = len(progress.handed)
         if asked >= call.max_backends:
             return True
         return asked >= self._servers_of(call.service)
 
-    def may_retry(self, call: calls.Call, progress: Progress) -> bool:
+    def may_retry(
+        self, call: calls.Call, progress: call_progress.Progress
+    ) -> bool:
         """Consumes the cost of a retry, or returns False if not permitted."""
         now_s = time.monotonic()
         if call.deadline_s - now_s <= MIN_REMAINING_S:
@@ -287,23 +276,3 @@
             ratio = allowance_lib.RetryRatio(share, self._retry_burst)
             self._ratios[service] = ratio
         return ratio
-
-
-def downgrade_unproven(
-    answer: outcomes.Answer, progress: Progress
-) -> outcomes.Answer:
-    """Returns `unknown` in place of a `not-run` that can't be proved."""
-    refused = answer.outcome is outcomes.Outcome.NOT_RUN
-    if not (refused and progress.lost):
-        return answer
-    reason = answer.reason or outcomes.Reason.LOST_ANSWER
-    return outcomes.unknown(reason, answer.retry_after_s)
-
-
-def may_have_arrived(result: calls.AttemptResult) -> bool:
-    """Whether an attempt may have reached a backend server."""
-    if result.answer is None:
-        return result.delivery is calls.Delivery.LOST
-    if result.answer.outcome is outcomes.Outcome.NOT_RUN:
-        return result.answer.reason in _BACKEND_REFUSALS
-    return True
