Record what the end of a process cuts: open requests and unsent bytes

The log could not tell why: bytes that still lie in the node's own write buffers (H1), a reset by the kernel because of input that was not read (H2), or an answer that was cut on its way to this node (H3). node.stopped now has requests_open and unsent_bytes.

--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -373,7 +373,17 @@
         await self._shut_down()
         for listener in self._listeners:
             listener.close()
+        unsent_bytes = self._unsent_bytes()
+        requests_open = self._entries_open()
         await self._close()
+        self._recorder.record(
+            time.time(),
+            "node.stopped",
+            boot=self._boot_id,
+            requests_open=requests_open,
+            unsent_bytes=unsent_bytes,
+        )
+        self._log.flush()
 
     def _background_tasks(self) -> list[supervision.Work]:
         """Returns the background tasks of this node."""
@@ -419,6 +429,9 @@
     def _entries_open(self) -> int:
         return sum(listener.requests_open for listener in self._listeners)
 
+    def _unsent_bytes(self) -> int:
+        return sum(listener.unsent_bytes for listener in self._listeners)
+
     def _reload_keys(self) -> None:
         """Reloads the keys from the settings file, on SIGHUP."""
         try:
@@ -440,5 +453,3 @@
         await self._dispatcher.sender.close()
         if self._store_link is not None:
             await self._store_link.close()
-        self._recorder.record(time.time(), "node.stopped", boot=self._boot_id)
-        self._log.flush()
--- a/packages/burdockfront-node/src/burdockfront_node/daemon_components.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon_components.py
@@ -23,6 +23,10 @@
     def requests_open(self) -> int:
         """Number of requests that are being served."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the operating system has not taken over."""
+
     async def open(self) -> None:
         """Opens the port.
 
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -275,6 +275,13 @@
         """Number of requests that are read and not yet answered."""
         return len(self._pending)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the operating system has not taken over."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def _start_pending(self) -> None:
         """Starts the first request and those that may run concurrently."""
         first = True
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -59,6 +59,13 @@
             connection.requests_open for connection in self._port.connections
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the operating system has not taken over."""
+        return sum(
+            connection.unsent_bytes for connection in self._port.connections
+        )
+
     def close(self) -> None:
         """Stops accepting connections and closes each open one when idle."""
         if self._server is not None:
--- a/packages/burdockfront-node/src/burdockfront_node/servers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/servers.py
@@ -79,6 +79,14 @@
         """Number of requests in flight."""
         return len(self._state.tasks)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the operating system has not taken over."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self._state.connections
+        )
+
     def close(self) -> None:
         """Stops accepting connections and closes each open one when idle."""
         if self._server is not None:
