Wait at a stop until the answers are out of the node's buffers

Cause: an answer leaves the count of open requests as soon as it is given to the transport. The wait of a stop looked at that count alone, so the process ended with answers in the transport's buffers, which are lost with it.

Change: a stop also waits until no connection of any port (callers, nodes, heartbeats, readiness, metrics) has unsent bytes, connections that are closing included. What the operating system has taken over, it delivers after the end of the process. The wait ends by itself shortly before the process would be killed, as before; answers_cut and unsent_bytes of node.stopped then tell what was cut.

--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -381,7 +381,8 @@
             "node.stopped",
             boot=self._boot_id,
             requests_open=requests_open,
-            unsent_bytes=unsent_bytes,
+            answers_cut=len(unsent_bytes),
+            unsent_bytes=sum(unsent_bytes),
         )
         self._log.flush()
 
@@ -409,8 +410,9 @@
 
         The node first announces that it takes no new work. For the notice
         period it still serves requests of peers that have not received the
-        announcement. It then waits until no request is in flight, and lingers
-        for callers that repeat a ticket because the answer was lost.
+        announcement. It then waits until no request is in flight and no answer
+        is unsent, and lingers for callers that repeat a ticket because the
+        answer was lost.
         """
         self._recorder.record(time.time(), "node.stopping")
         drain = self._settings.drain
@@ -424,13 +426,28 @@
         self._exchange.leave()
 
     def _busy(self) -> bool:
-        return self._guard.in_flight > 0 or self._entries_open() > 0
+        """Whether the end of the process would interrupt a request.
+
+        An answer is out once the operating system has taken it over, which
+        delivers it after the process has ended. Bytes in the buffers of this
+        process, for a caller that reads slowly, are lost with it.
+        """
+        return (
+            self._guard.in_flight > 0
+            or self._entries_open() > 0
+            or bool(self._unsent_bytes())
+        )
 
     def _entries_open(self) -> int:
         return sum(listener.requests_open for listener in self._listeners)
 
-    def _unsent_bytes(self) -> int:
-        return sum(listener.unsent_bytes for listener in self._listeners)
+    def _unsent_bytes(self) -> list[int]:
+        """Bytes of unsent answers, for each connection that has any."""
+        return [
+            size
+            for listener in self._listeners
+            for size in listener.unsent_bytes
+        ]
 
     def _reload_keys(self) -> None:
         """Reloads the keys from the settings file, on SIGHUP."""
--- a/packages/burdockfront-node/src/burdockfront_node/daemon_components.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon_components.py
@@ -24,8 +24,11 @@
         """Number of requests that are being served."""
 
     @property
-    def unsent_bytes(self) -> int:
-        """Bytes of answers that the operating system has not taken over."""
+    def unsent_bytes(self) -> list[int]:
+        """Bytes of answers that the operating system has not taken over.
+
+        One figure for each connection that has any.
+        """
 
     async def open(self) -> None:
         """Opens the port.
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -60,11 +60,12 @@
         )
 
     @property
-    def unsent_bytes(self) -> int:
+    def unsent_bytes(self) -> list[int]:
         """Bytes of answers that the operating system has not taken over."""
-        return sum(
+        sizes = (
             connection.unsent_bytes for connection in self._port.connections
         )
+        return [size for size in sizes if size]
 
     def close(self) -> None:
         """Stops accepting connections and closes each open one when idle."""
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -415,8 +415,9 @@
 
         Callers learn from the readiness check that this node is leaving, peers
         from the exchange. For the notice period the node serves as before; then
-        it waits for the requests in flight. Ports stay open meanwhile, because
-        the nested calls of these requests arrive through them.
+        it waits for the requests in flight and for unsent answers. Ports stay
+        open meanwhile, because nested calls of these requests arrive through
+        them.
         """
         began_s = time.monotonic()
         self._recorder.record(
--- a/packages/burdockfront-node/src/burdockfront_node/servers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/servers.py
@@ -80,12 +80,13 @@
         return len(self._state.tasks)
 
     @property
-    def unsent_bytes(self) -> int:
+    def unsent_bytes(self) -> list[int]:
         """Bytes of answers that the operating system has not taken over."""
-        return sum(
+        sizes = (
             connection.transport.get_write_buffer_size()
             for connection in self._state.connections
         )
+        return [size for size in sizes if size]
 
     def close(self) -> None:
         """Stops accepting connections and closes each open one when idle."""
