Let peers pause while they read: no limit on unacknowledged data for them

Cause: all sockets have TCP_USER_TIMEOUT, so that a silent connection fails within seconds. The limit also counts data for which the peer has no room, although the peer acknowledges each probe of the closed window. The same holds for a backend server, or a node, that pauses while it reads a large request.

Change: accepted connections of callers and nodes have keepalive probes alone. What waits for an answer on the other end of such a connection detects its silence by itself. Connections to nodes and servers keep the limit, and lift it for a request that exceeds the buffers. A caller that takes nothing is ended by the node: its unsent bytes don't change between two checks, the operator's idle timeout apart. It is counted (ports.answers_unread) and logged.

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -20,6 +20,7 @@
 from burdockfront_client import answer_assembly
 from burdockfront_client import answer_memory
 from burdockfront_client import http_messages
+from burdockfront_client import sockets
 
 _FIRST_ERROR_STATUS = 400
 # A connection that has answered this many requests with errors is not reused,
@@ -89,6 +90,7 @@
         self._reusable = True
         self._closed = False
         self._discarded = 0
+        self._limits_unacknowledged = True
 
     # ---- asyncio.Protocol ------------------------------------------------
 
@@ -107,6 +109,14 @@
             return
         self._assembler.feed(data)
 
+    def pause_writing(self) -> None:
+        """Gives the server time for a request that exceeds its buffers.
+
+        A server may read slowly. The limit on unacknowledged data would end
+        the connection in the middle of the request.
+        """
+        self._limit_unacknowledged(False)
+
     def eof_received(self) -> bool:
         """Ends an answer without a length, or fails the pending request."""
         if self._pending is not None:
@@ -206,6 +216,8 @@
             # The server answered before it had received the whole request. It
             # would parse the rest of the body as the start of the next request.
             self.close()
+        elif not self._limits_unacknowledged:
+            self._limit_unacknowledged(True)
         return answer
 
     def close(self) -> None:
@@ -216,6 +228,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _limit_unacknowledged(self, is_limited: bool) -> None:
+        self._limits_unacknowledged = is_limited
+        if self._transport is not None and not self._closed:
+            sock = self._transport.get_extra_info("socket")
+            sockets.limit_unacknowledged(sock, is_limited)
+
     def _record_failed(self, request_id: str) -> None:
         self.failed_requests.add(request_id)
         if len(self.failed_requests) >= MAX_FAILED_REQUESTS:
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -200,7 +200,9 @@
                 f"no connection to {self._host}:{self._port} ({error!r}); "
                 f"nothing was sent. Check that the server is running."
             ) from None
-        sockets.enable_keepalive(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        sockets.enable_keepalive(sock)
+        sockets.limit_unacknowledged(sock)
         self.opened += 1
         connection.idle_since_s = loop.time()
         return connection
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -17,6 +17,7 @@
 from burdockfront_node.controllers import control_cost
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import store_link
+from burdockfront_node.internal import http_connection
 
 _KIB = 1024
 # Gauge value of an unknown age.
@@ -37,6 +38,7 @@
         guard: Source of the guard's counters and gauges.
         exchange: Source of metrics of gossip and members.
         store: Source of metrics of the store, if there is one.
+        ports: Counters of this node's ports.
 
     Attributes:
         control_cost: Cost of control traffic.
@@ -50,6 +52,7 @@
         guard: guard_lib.Guard,
         exchange: exchange_lib.Exchange,
         store: store_link.StoreLink | None,
+        ports: http_connection.PortCounters,
     ):
         self._settings = settings
         self._node_id = node_id
@@ -57,6 +60,7 @@
         self._guard = guard
         self._exchange = exchange
         self._store = store
+        self._ports = ports
         self.control_cost = control_cost.ControlCost(exchange.link, store)
         self._sent: dict[str, int] = {}
 
@@ -69,6 +73,8 @@
             found[f"router.{name}"] = value
         for name, value in self._guard.counters().items():
             found[f"guard.{name}"] = value
+        for name, value in dataclasses.asdict(self._ports).items():
+            found[f"ports.{name}"] = value
         exchange = self._exchange
         found["exchange.messages"] = exchange.link.messages
         found["exchange.sent_bytes"] = exchange.link.sent_bytes
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -45,6 +45,7 @@
 from burdockfront_node.filters import chain
 from burdockfront_node.internal import clocks
 from burdockfront_node.internal import event_log
+from burdockfront_node.internal import http_connection
 from burdockfront_node.internal import http_port
 from burdockfront_node.internal import supervision
 
@@ -213,6 +214,7 @@
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
+        self._port_counters = http_connection.PortCounters()
         self._metrics = metrics_lib.Metrics(
             settings.statsd,
             settings.node_id,
@@ -220,6 +222,7 @@
             self._guard,
             self._exchange,
             self._store_link,
+            self._port_counters,
         )
         self._housekeeping = housekeeping_lib.Housekeeping(
             self._guard,
@@ -283,7 +286,11 @@
             chain.build(tools), tools, self._status, self._ready
         )
         return [
-            http_port.Port(entry, self._settings.caller_address),
+            http_port.Port(
+                entry,
+                self._settings.caller_address,
+                counters=self._port_counters,
+            ),
             self._internal_port(),
         ]
 
@@ -294,7 +301,11 @@
             self._recorder,
             self._internal_application(),
         )
-        return http_port.Port(handler, self._settings.internal_address)
+        return http_port.Port(
+            handler,
+            self._settings.internal_address,
+            counters=self._port_counters,
+        )
 
     def _internal_application(self) -> internal_app.applications.Starlette:
         components = daemon_components.Components(
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -64,6 +64,18 @@
         """Returns the response to a request that was not read whole."""
 
 
+@dataclasses.dataclass(slots=True)
+class PortCounters:
+    """Counters of all ports of a node, for metrics.
+
+    Attributes:
+        answers_unread: Connections that were ended as their callers had taken
+            nothing of an answer for too long.
+    """
+
+    answers_unread: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class PortState:
     """State that the connections of a port share.
@@ -71,11 +83,13 @@
     Attributes:
         handler: Answers requests.
         limits_of: Returns the limits on callers' requests now in effect.
+        counters: Counters that the ports of a node share.
         connections: Open connections.
     """
 
     handler: Handler
     limits_of: LimitsOf
+    counters: PortCounters = dataclasses.field(default_factory=PortCounters)
     connections: "set[Connection]" = dataclasses.field(default_factory=set)
 
 
@@ -121,6 +135,8 @@
         self._read_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._idle_since_s = 0.0
+        # Unsent bytes at the last check.
+        self._unsent_before_bytes = 0
         # The request that is being read.
         self._url = b""
         self._target = ""
@@ -420,7 +436,12 @@
         each one that fires.
         """
         idle_timeout_s = self._port.limits_of().idle_timeout_s
-        if self._pending or self._in_message:
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes and unsent_bytes == self._unsent_before_bytes:
+            self._abort_unread(unsent_bytes, idle_timeout_s)
+            return
+        self._unsent_before_bytes = unsent_bytes
+        if self._pending or self._in_message or unsent_bytes:
             self._schedule_idle_check(idle_timeout_s)
             return
         left_s = self._idle_since_s + idle_timeout_s - self._loop.time()
@@ -429,6 +450,20 @@
         else:
             self._close()
 
+    def _abort_unread(self, unsent_bytes: int, time_s: float) -> None:
+        """Ends a connection whose caller takes nothing of its answers.
+
+        The answers would hold memory for as long as the caller lives.
+        """
+        self._port.counters.answers_unread += 1
+        _LOG.warning(
+            "a caller took nothing of its answers; its connection is ended",
+            extra={"unsent_bytes": unsent_bytes, "waited_s": time_s},
+        )
+        self._accepts_requests = False
+        if self._transport is not None:
+            self._transport.abort()
+
     def _close(self) -> None:
         self._accepts_requests = False
         if self._transport is not None:
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -32,6 +32,7 @@
         address: `ip:port`.
         limits_of: Returns the limits on callers' requests now in effect; by
             default those of `routes.CallerLimits`.
+        counters: Counters that the ports of a node share; by default its own.
     """
 
     def __init__(
@@ -39,8 +40,11 @@
         handler: http_connection.Handler,
         address: str,
         limits_of: http_connection.LimitsOf = routes.CallerLimits,
+        counters: http_connection.PortCounters | None = None,
     ):
-        self._port = http_connection.PortState(handler, limits_of)
+        self._port = http_connection.PortState(
+            handler, limits_of, counters or http_connection.PortCounters()
+        )
         self._address = address
         self._server: asyncio.Server | None = None
 
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -334,7 +334,10 @@
         )
         return [
             http_port.Port(
-                entry, settings.caller_address, lambda: self._resolver.limits
+                entry,
+                settings.caller_address,
+                lambda: self._resolver.limits,
+                self._port_counters,
             ),
             self._internal_port(),
             servers.Listener(
--- a/packages/burdockfront-node/src/burdockfront_node/servers.py
+++ b/packages/burdockfront-node/src/burdockfront_node/servers.py
@@ -42,7 +42,9 @@
     def connection_made(self, transport: Any) -> None:
         """Sets the socket options that detect a dead connection."""
         super().connection_made(transport)
-        sockets.enable_keepalive(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        sockets.enable_keepalive(sock)
+        sockets.limit_unacknowledged(sock)
 
 
 class Listener:
