Hold a large body once on its way through a node

Cause, first part: a body was held three times. Which lines hold it, one upload of 12 MB at a node in tracemalloc (trial): the pieces as they were read 12 MB, the joined body 12 MB, the encoded request 12 MB. The pieces stayed with the connection until its next request, so an idle one held 12 MB for long. The answers took the same way in the other direction: body, and encoded response.

Change: a body that arrives in one piece stays that piece, others are gathered in one buffer, which the request takes over from the connection. Heads and large bodies are written as two parts. Bodies up to 64 KB are still copied behind their head, which saves a system call.

What all bodies of a node take together is not bounded yet.

--- a/packages/burdockfront-client/src/burdockfront_client/call_link.py
+++ b/packages/burdockfront-client/src/burdockfront_client/call_link.py
@@ -47,7 +47,7 @@
     async def request(
         self,
         address: str,
-        request: bytes,
+        request: http_messages.Encoded,
         is_own: Callable[[http_messages.RawAnswer], bool],
         timeout_s: float,
         limit_bytes: int,
--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -12,6 +12,7 @@
 from burdockfront import self_reports
 from burdockfront import tickets
 from burdockfront_client import attempts
+from burdockfront_client import http_messages
 
 # Larger than the number of backend servers of any service, so no limit.
 UNLIMITED_BACKENDS = 1_000_000
@@ -52,7 +53,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: http_messages.Body
     context: context_lib.RequestContext
     deadline_s: float
     pool: allowance.AllowancePool
@@ -81,7 +82,7 @@
     method: str,
     target: str,
     headers: tuple[tuple[str, str], ...],
-    body: bytes,
+    body: http_messages.Body,
     max_duration_s: float,
 ) -> Call:
     """Returns a call that a backend server makes for an open attempt.
--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -163,7 +163,7 @@
 
     async def exchange(
         self,
-        request: bytes,
+        request: http_messages.Encoded,
         is_own: Callable[[http_messages.RawAnswer], bool],
         limit_bytes: int,
         timeout_s: float,
@@ -199,7 +199,10 @@
             is_own,
             loop.call_later(timeout_s, self._on_timeout, timeout_s),
         )
-        self._transport.write(request)
+        if isinstance(request, bytes):
+            self._transport.write(request)
+        else:
+            self._transport.writelines(request)
         try:
             answer = await pending.answer
         except asyncio.CancelledError:
--- a/packages/burdockfront-client/src/burdockfront_client/http_messages.py
+++ b/packages/burdockfront-client/src/burdockfront_client/http_messages.py
@@ -3,6 +3,14 @@
 import dataclasses
 from collections.abc import Iterable
 
+# Bodies up to this size are copied behind their head, which saves a system
+# call. Larger ones are held and written as they are.
+MAX_JOINED_BYTES = 65_536
+# A large body stays in the buffer in which it was received; nobody changes it.
+Body = bytes | bytearray
+# An encoded request: in one piece, or its head and a large body.
+Encoded = bytes | tuple[bytes, Body]
+
 
 @dataclasses.dataclass(slots=True)
 class RawAnswer:
@@ -33,15 +41,19 @@
     target: str,
     host: str,
     headers: Iterable[tuple[str, str]],
-    body: bytes,
-) -> bytes:
+    body: Body,
+) -> Encoded:
     """Returns an encoded request, with its Host and Content-Length headers."""
     line = f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n"
     fields = "".join([f"{name}: {value}\r\n" for name, value in headers])
     if not body and method in ("GET", "HEAD"):
         return f"{line}{fields}\r\n".encode("latin-1")
-    length = f"content-length: {len(body)}\r\n\r\n"
-    return f"{line}{fields}{length}".encode("latin-1") + body
+    size_bytes = len(body)
+    length = f"content-length: {size_bytes}\r\n\r\n"
+    head = f"{line}{fields}{length}".encode("latin-1")
+    if size_bytes > MAX_JOINED_BYTES:
+        return head, body
+    return head + body
 
 
 def keep_alive_of(answer: RawAnswer) -> float | None:
--- a/packages/burdockfront-client/src/burdockfront_client/peers.py
+++ b/packages/burdockfront-client/src/burdockfront_client/peers.py
@@ -92,7 +92,7 @@
         method: str,
         target: str,
         headers: Mapping[str, str] | Iterable[tuple[str, str]],
-        body: bytes,
+        body: http_messages.Body,
         timeout_s: float,
         limit_bytes: int,
         fresh: bool = False,
--- a/packages/burdockfront-client/src/burdockfront_client/pool.py
+++ b/packages/burdockfront-client/src/burdockfront_client/pool.py
@@ -85,7 +85,7 @@
 
     async def exchange(
         self,
-        request: bytes,
+        request: http_messages.Encoded,
         is_own: Callable[[http_messages.RawAnswer], bool],
         limit_bytes: int,
         fresh: bool,
--- a/packages/burdockfront-node/src/burdockfront_node/internal/asgi.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/asgi.py
@@ -23,7 +23,7 @@
     collector = _ResponseCollector()
 
     async def receive() -> dict[str, Any]:
-        return {"type": "http.request", "body": request.body}
+        return {"type": "http.request", "body": bytes(request.body)}
 
     await application(_scope_of(request), receive, collector.send)
     return messages.Response(
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -16,6 +16,7 @@
 from burdockfront import errors
 from burdockfront import routes
 from burdockfront_client import header_names
+from burdockfront_client import http_messages
 from burdockfront_client import sockets
 from burdockfront_node.internal import messages
 
@@ -141,8 +142,7 @@
         self._url = b""
         self._target = ""
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: http_messages.Body = b""
         self._body_limit_bytes = 0
 
     # ---- asyncio ---------------------------------------------------------
@@ -208,8 +208,7 @@
         self._url = b""
         self._target = ""
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._body = b""
         self._body_limit_bytes = 0
         self._in_message = True
         self._in_head = True
@@ -241,9 +240,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._body_limit_bytes and self._accepts_requests:
+        if not self._body:
+            self._body = body
+        else:
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += body
+        if len(self._body) > self._body_limit_bytes and self._accepts_requests:
             error = messages.BodyTooLargeError(self._body_limit_bytes)
             self._reject(self._handler.refuse(error))
 
@@ -261,8 +264,10 @@
             _METHODS[parser.get_method()],
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            self._body,
         )
+        # The request holds the body; the connection may be idle for long.
+        self._body = b""
         keeps_alive = parser.should_keep_alive()
         if keeps_alive and parser.get_http_version() == "1.0":
             # An HTTP/1.0 caller expects the response to confirm keep-alive,
@@ -347,7 +352,7 @@
             # off; its own response closes the connection then.
             closes = True
         head_only = queued.request.method == "HEAD"
-        self._transport.write(messages.encode(response, head_only, closes))
+        self._transport.writelines(messages.encode(response, head_only, closes))
         return not closes
 
     def _reject(self, response: messages.Response) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/internal/messages.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/messages.py
@@ -5,6 +5,7 @@
 import time
 
 from burdockfront import errors
+from burdockfront_client import http_messages
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -51,7 +52,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: http_messages.Body
     arrived_s: float = dataclasses.field(default_factory=time.monotonic)
 
     def header(self, name: str) -> str | None:
@@ -80,21 +81,31 @@
     closes: bool = False
 
 
-def encode(response: Response, head_only: bool, closes: bool) -> bytes:
+def encode(
+    response: Response, head_only: bool, closes: bool
+) -> tuple[bytes, ...]:
     """Encodes a response as HTTP/1.1.
 
     Args:
         response: Response to encode.
         head_only: Whether to leave out the body, as for a HEAD request.
         closes: Whether to send `connection: close`.
+
+    Returns:
+        The parts to write: a large body is not copied behind the head.
     """
     status = response.status
     line = _STATUS_LINES.get(status) or f"HTTP/1.1 {status} \r\n"
     fields = [f"{name}: {value}\r\n" for name, value in response.headers]
     end = "connection: close\r\n\r\n" if closes else "\r\n"
     if status in _NO_BODY:
-        return (line + "".join(fields) + end).encode("latin-1")
+        return ((line + "".join(fields) + end).encode("latin-1"),)
     body = response.body
-    length = f"content-length: {len(body)}\r\n"
+    size_bytes = len(body)
+    length = f"content-length: {size_bytes}\r\n"
     head = (line + "".join(fields) + length + end).encode("latin-1")
-    return head if head_only else head + body
+    if head_only:
+        return (head,)
+    if size_bytes > http_messages.MAX_JOINED_BYTES:
+        return head, body
+    return (head + body,)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_handover.py
@@ -194,7 +194,9 @@
             time.time(), "backend.answer-discarded", named, status=status
         )
 
-    def _encode(self, call: calls.Call, terms: adapters.BackendTerms) -> bytes:
+    def _encode(
+        self, call: calls.Call, terms: adapters.BackendTerms
+    ) -> http_messages.Encoded:
         """Returns the encoded request with the headers of this attempt."""
         headers = (*call.headers, *self._dialect.to_backend(terms))
         return http_messages.encode_request(
--- a/packages/burdockfront/src/burdockfront/fingerprints.py
+++ b/packages/burdockfront/src/burdockfront/fingerprints.py
@@ -22,7 +22,7 @@
     host: str,
     target: str,
     headers: Iterable[tuple[str, str]],
-    body: bytes,
+    body: bytes | bytearray,
 ) -> str:
     """Returns the fingerprint of a request, in hexadecimal.
 
@@ -43,6 +43,6 @@
     return digest.hexdigest()
 
 
-def _add(digest: hashlib.blake2b, part: bytes) -> None:
+def _add(digest: hashlib.blake2b, part: bytes | bytearray) -> None:
     digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
     digest.update(part)
