Bound the memory of request bodies at each port

Cause, second part: each body is limited, their sum is not.

Change: a body over 64 KB has a reservation at its port, out of a share of the memory that the settings state. One of known size reserves all of it, others grow in steps. Without room the connection stops reading, in order of arrival, for half of the time that the caller has left at most; then the request is refused with 503 and a Retry-After from what has drained lately. Nothing has been passed on by then. What gives way first: a body that has not been read, a body that has stalled for a second while others wait, and, where all room is held by bodies of unknown size that wait to grow, the newest of these. A whole body keeps its room until its last user, also a run that goes on after its caller has left. The ports of callers and of nodes have a share each; with one for both, two nodes could wait for each other's bodies.

A guard that refuses a call that it has not read says so to the node that made it: it did not run, unless the ledger knows an earlier attempt. A refused caller may read the refusal while it sends: the rest is read and dropped for two seconds, where a reset took the refusal with it.

Weighed: passing bodies on as they arrive. A retry at another server needs the body, and a server that has begun to read one can't be said not to have run it.

--- a/packages/burdockfront-bench/src/burdockfront_bench/standins/plain_handler.py
+++ b/packages/burdockfront-bench/src/burdockfront_bench/standins/plain_handler.py
@@ -17,6 +17,14 @@
         """Returns that a request waits for the one before it."""
         return False
 
-    def refuse(self, error: errors.InvalidInputError) -> messages.Response:
+    def body_wait_s(self, head: messages.Request) -> float:
+        """Returns how long a large body may wait for memory."""
+        return messages.DEFAULT_BODY_WAIT_S
+
+    def refuse(
+        self,
+        error: errors.InvalidInputError,
+        head: messages.Request | None = None,
+    ) -> messages.Response:
         """Returns the answer to a request that was not read whole."""
         return messages.Response(400, (), str(error).encode())
--- a/packages/burdockfront-client/src/burdockfront_client/calls.py
+++ b/packages/burdockfront-client/src/burdockfront_client/calls.py
@@ -4,6 +4,7 @@
 import enum
 import math
 import time
+from typing import Protocol
 
 from burdockfront import allowance
 from burdockfront import context as context_lib
@@ -18,6 +19,16 @@
 UNLIMITED_BACKENDS = 1_000_000
 
 
+class BodyHold(Protocol):
+    """Keeps the room of a large body until its last user has released it."""
+
+    def retain(self) -> None:
+        """Adds a user of the body."""
+
+    def release(self) -> None:
+        """Removes a user of the body."""
+
+
 @dataclasses.dataclass(slots=True)
 class Call:
     """One call to a service, from an entry or nested in another request.
@@ -47,6 +58,7 @@
         trail: Result of each attempt so far, for logs.
         arrivals: Number of attempts that reached, or may have reached, a
             backend server.
+        hold: Keeps the room of a large body; None for others.
     """
 
     service: str
@@ -67,6 +79,7 @@
     max_backends: int = UNLIMITED_BACKENDS
     trail: list[str] = dataclasses.field(default_factory=list)
     arrivals: int = 0
+    hold: BodyHold | None = None
 
     @property
     def idempotent(self) -> bool:
--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -8,9 +8,11 @@
 import asyncio
 import dataclasses
 import resource
+from collections.abc import Mapping
 
 import statsd
 
+from burdockfront import body_budget
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_node import guard as guard_lib
 from burdockfront_node import settings as settings_lib
@@ -39,6 +41,7 @@
         exchange: Source of metrics of gossip and members.
         store: Source of metrics of the store, if there is one.
         ports: Counters of this node's ports.
+        bodies: The memory for large request bodies, by port.
 
     Attributes:
         control_cost: Cost of control traffic.
@@ -53,6 +56,7 @@
         exchange: exchange_lib.Exchange,
         store: store_link.StoreLink | None,
         ports: http_connection.PortCounters,
+        bodies: Mapping[str, body_budget.BodyBudget],
     ):
         self._settings = settings
         self._node_id = node_id
@@ -61,6 +65,7 @@
         self._exchange = exchange
         self._store = store
         self._ports = ports
+        self._bodies = bodies
         self.control_cost = control_cost.ControlCost(exchange.link, store)
         self._sent: dict[str, int] = {}
 
@@ -75,6 +80,9 @@
             found[f"guard.{name}"] = value
         for name, value in dataclasses.asdict(self._ports).items():
             found[f"ports.{name}"] = value
+        for port, bodies in self._bodies.items():
+            found[f"bodies.{port}.waited"] = bodies.waited
+            found[f"bodies.{port}.given_up"] = bodies.given_up
         exchange = self._exchange
         found["exchange.messages"] = exchange.link.messages
         found["exchange.sent_bytes"] = exchange.link.sent_bytes
@@ -99,7 +107,12 @@
         if limit_per_s is None:
             limit_per_s = _NO_LIMIT
         load = self._guard.latest_load()
+        bodies: dict[str, float] = {}
+        for port, budget in self._bodies.items():
+            bodies[f"bodies.{port}.used_bytes"] = budget.used_bytes
+            bodies[f"bodies.{port}.waiting"] = budget.waiting
         return {
+            **bodies,
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
             "guard.limit_per_s": limit_per_s,
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -9,6 +9,7 @@
 import time
 
 from burdockfront import allowance as allowance_lib
+from burdockfront import body_budget
 from burdockfront import configuration as configuration_lib
 from burdockfront import freshness
 from burdockfront import keyring as keyring_lib
@@ -215,6 +216,10 @@
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
         self._port_counters = http_connection.PortCounters()
+        # One for each port: a body that waits for the next node must not keep
+        # that node's bodies from this one, or both would wait for each other.
+        self._caller_bodies = self._new_body_budget()
+        self._node_bodies = self._new_body_budget()
         self._metrics = metrics_lib.Metrics(
             settings.statsd,
             settings.node_id,
@@ -223,6 +228,7 @@
             self._exchange,
             self._store_link,
             self._port_counters,
+            {"callers": self._caller_bodies, "nodes": self._node_bodies},
         )
         self._housekeeping = housekeeping_lib.Housekeeping(
             self._guard,
@@ -236,6 +242,12 @@
             self._guard, self._dispatcher, self._headers
         )
 
+    def _new_body_budget(self) -> body_budget.BodyBudget:
+        return body_budget.BodyBudget(
+            self._settings.request_bodies_bytes,
+            self._settings.largest_body_bytes,
+        )
+
     def _retry_burst(self) -> float:
         """Returns the burst size of this node's retry budget per service."""
         return allowance_lib.DEFAULT_BURST
@@ -290,6 +302,7 @@
                 entry,
                 self._settings.caller_address,
                 counters=self._port_counters,
+                bodies=self._caller_bodies,
             ),
             self._internal_port(),
         ]
@@ -305,6 +318,7 @@
             handler,
             self._settings.internal_address,
             counters=self._port_counters,
+            bodies=self._node_bodies,
         )
 
     def _internal_application(self) -> internal_app.applications.Starlette:
--- a/packages/burdockfront-node/src/burdockfront_node/entry.py
+++ b/packages/burdockfront-node/src/burdockfront_node/entry.py
@@ -60,7 +60,15 @@
         entry = base.Entry(request)
         return _response(entry, await self._answer(entry))
 
-    def refuse(self, error: errors.InvalidInputError) -> messages.Response:
+    def body_wait_s(self, head: messages.Request) -> float:
+        """Returns how long a large body may wait for memory."""
+        return messages.DEFAULT_BODY_WAIT_S
+
+    def refuse(
+        self,
+        error: errors.InvalidInputError,
+        head: messages.Request | None = None,
+    ) -> messages.Response:
         """Returns the answer to a request that could not be read completely."""
         nothing_read = base.Entry(messages.Request("", "", (), b""))
         return _response(nothing_read, problems.of_error(error))
--- a/packages/burdockfront-node/src/burdockfront_node/filters/identify.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/identify.py
@@ -72,6 +72,7 @@
             context=entry.context,
             deadline_s=entry.deadline_s,
             pool=allowance.AllowancePool(units),
+            hold=request.hold,
         )
 
     def _inherit_context(
@@ -89,6 +90,7 @@
             entry.request.body,
             policy.deadline_s,
         )
+        entry.call.hold = entry.request.hold
         entry.context = entry.call.context
         entry.deadline_s = entry.call.deadline_s
 
--- a/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
+++ b/packages/burdockfront-node/src/burdockfront_node/filters/terms.py
@@ -186,6 +186,7 @@
             max_backends=route.max_attempts,
             parent_class=parent.class_name if parent is not None else "",
             account=account.name if account is not None else "",
+            hold=request.hold,
         )
         return None
 
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -296,6 +296,22 @@
             answer = outcomes.not_run(outcomes.Reason.TICKET_NEEDED)
         return self._with_state(attempt, answer)
 
+    def refuse_unread(
+        self, attempt: calls.Attempt, refusal: outcomes.Answer
+    ) -> outcomes.Answer:
+        """Refuses an attempt whose body was not read whole."""
+        answer = refusal
+        if attempt.ticket is not None:
+            answer = self.tickets.refuse(attempt.ticket, refusal)
+        self._counters.refused += 1
+        backend_runs.record(
+            self._recorder,
+            "call.refused",
+            attempt,
+            reason=refusal.reason or "",
+        )
+        return self._with_state(attempt, answer)
+
     async def tick_forever(self) -> None:
         """Periodically expires queued calls, updates levels and detects stalls.
 
--- /dev/null
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/body_room.py
@@ -0,0 +1,135 @@
+"""Memory for the large body that a connection is reading.
+
+`burdockfront.body_budget` decides which body gets room; here a body waits for
+it, within a time limit. Its request is refused before anything was passed on if
+there is none in time.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from burdockfront import body_budget
+from burdockfront_node.internal import messages
+
+
+class BodyRoom:
+    """The room of one body.
+
+    Args:
+        budget: The room of the port.
+        max_wait_s: How long the body may wait for room, in all.
+        on_room: Called when reading may go on.
+        on_refused: Called with the refusal if it must not.
+    """
+
+    def __init__(
+        self,
+        budget: body_budget.BodyBudget,
+        max_wait_s: float,
+        on_room: Callable[[], None],
+        on_refused: Callable[[messages.NoRoomError], None],
+    ):
+        self._budget = budget
+        self._loop = asyncio.get_running_loop()
+        self._left_s = max_wait_s
+        self._on_room = on_room
+        self._on_refused = on_refused
+        self._waits_since_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._wanted_bytes = 0
+        self.waited_s = 0.0
+        self._reservation = budget.open(
+            self._on_granted, self._refuse, self._loop.time()
+        )
+
+    @property
+    def waits(self) -> bool:
+        """Whether nothing more may be read for now."""
+        return self._reservation.state is body_budget.State.WAITING
+
+    def ask(self, total_bytes: int) -> None:
+        """Asks for room for the whole body, or for a larger part of it."""
+        now_s = self._loop.time()
+        self._wanted_bytes = total_bytes
+        self._waits_since_s = now_s
+        self._budget.ask(self._reservation, total_bytes, now_s)
+        if self.waits:
+            self._schedule_check()
+
+    def on_progress(self) -> None:
+        """Records that bytes of the body have arrived."""
+        self._reservation.progressed_s = self._loop.time()
+
+    def complete(self, size_bytes: int) -> "BodyHold":
+        """Records that the body is whole; returns what frees its room."""
+        self._budget.complete(self._reservation, size_bytes)
+        return BodyHold(self._budget, self._reservation)
+
+    def release(self) -> None:
+        """Frees the room of a body that is not read further."""
+        self._stop_timer()
+        self._budget.release(self._reservation, self._loop.time())
+
+    def _on_granted(self) -> None:
+        self._end_wait()
+        self._on_room()
+
+    def _refuse(self) -> None:
+        now_s = self._loop.time()
+        self._stop_timer()
+        retry_after_s = self._budget.retry_after_s(self._wanted_bytes, now_s)
+        self._on_refused(messages.NoRoomError(retry_after_s))
+
+    def _schedule_check(self) -> None:
+        self._timer = self._loop.call_later(
+            min(self._left_s, body_budget.STALL_S), self._check
+        )
+
+    def _check(self) -> None:
+        """Refuses a body that has waited for too long."""
+        self._end_wait()
+        now_s = self._waits_since_s = self._loop.time()
+        self._budget.give_up_stalled(now_s)
+        if not self.waits:
+            return
+        if self._left_s <= 0.0:
+            self._refuse()
+        else:
+            self._schedule_check()
+
+    def _end_wait(self) -> None:
+        self._stop_timer()
+        waited_s = self._loop.time() - self._waits_since_s
+        self.waited_s += waited_s
+        self._left_s -= waited_s
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class BodyHold:
+    """Keeps the room of a whole body until its last user has released it.
+
+    Args:
+        budget: The room of the port.
+        reservation: The body's part of it.
+    """
+
+    def __init__(
+        self,
+        budget: body_budget.BodyBudget,
+        reservation: body_budget.Reservation,
+    ):
+        self._budget = budget
+        self._reservation = reservation
+
+    def retain(self) -> None:
+        """Adds a user of the body."""
+        self._budget.retain(self._reservation)
+
+    def release(self) -> None:
+        """Removes a user of the body."""
+        now_s = asyncio.get_running_loop().time()
+        self._budget.release(self._reservation, now_s)
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -13,11 +13,13 @@
 
 import httptools
 
+from burdockfront import body_budget
 from burdockfront import errors
 from burdockfront import routes
 from burdockfront_client import header_names
 from burdockfront_client import http_messages
 from burdockfront_client import sockets
+from burdockfront_node.internal import body_room
 from burdockfront_node.internal import messages
 
 _LOG = logging.getLogger(__name__)
@@ -26,6 +28,10 @@
 # node's memory. Callers pipeline only a few requests. While reading is paused,
 # the disconnect of a caller goes unnoticed.
 _MAX_OPEN_REQUESTS = 32
+# How long a caller has for reading a refusal while it sends.
+_LINGER_S = 2.0
+# Factor by which the room of a body of unknown size grows.
+_GROWTH = 2
 
 
 class _Methods(dict[bytes, str]):
@@ -61,8 +67,24 @@
     async def serve(self, request: messages.Request) -> messages.Response:
         """Answers a request; cancelled when the caller disconnects."""
 
-    def refuse(self, error: errors.InvalidInputError) -> messages.Response:
-        """Returns the response to a request that was not read whole."""
+    def body_wait_s(self, head: messages.Request) -> float:
+        """Returns how long a large body may wait for memory.
+
+        Args:
+            head: The request as far as it has been read, without its body.
+        """
+
+    def refuse(
+        self,
+        error: errors.InvalidInputError,
+        head: messages.Request | None = None,
+    ) -> messages.Response:
+        """Returns the response to a request that was not read whole.
+
+        Args:
+            error: Why it is not read further.
+            head: The request without its body, if its head is complete.
+        """
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,9 +94,12 @@
     Attributes:
         answers_unread: Connections that were ended as their callers had taken
             nothing of an answer for too long.
+        bodies_refused: Requests that were refused before their bodies were
+            read: too large, too slow, or no memory for them.
     """
 
     answers_unread: int = 0
+    bodies_refused: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,12 +110,16 @@
         handler: Answers requests.
         limits_of: Returns the limits on callers' requests now in effect.
         counters: Counters that the ports of a node share.
+        bodies: The memory for large request bodies.
         connections: Open connections.
     """
 
     handler: Handler
     limits_of: LimitsOf
     counters: PortCounters = dataclasses.field(default_factory=PortCounters)
+    bodies: body_budget.BodyBudget = dataclasses.field(
+        default_factory=body_budget.BodyBudget
+    )
     connections: "set[Connection]" = dataclasses.field(default_factory=set)
 
 
@@ -102,6 +131,12 @@
     keeps_alive: bool
     task: asyncio.Task[None] | None = None
     response: messages.Response | None = None
+    is_rejected: bool = False
+
+    def release_body(self) -> None:
+        """Frees the room of a large body, unless it has other users."""
+        if self.request.hold is not None:
+            self.request.hold.release()
 
 
 class Connection(asyncio.Protocol):
@@ -124,6 +159,8 @@
         # Whether further requests are accepted, and whether reading is paused.
         self._accepts_requests = True
         self._reading_paused = False
+        # Whether input is read and dropped, after a refusal.
+        self._drops_input = False
         self._writable = True
         self._closes_when_idle = False
         self._in_message = False
@@ -144,6 +181,9 @@
         self._headers: list[tuple[str, str]] = []
         self._body: http_messages.Body = b""
         self._body_limit_bytes = 0
+        # Size at which the body is compared with its limits next.
+        self._check_at_bytes = 0
+        self._room: body_room.BodyRoom | None = None
 
     # ---- asyncio ---------------------------------------------------------
 
@@ -168,6 +208,7 @@
         self._stop_read_timer()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+        self._release_room()
         self._cancel_pending()
 
     def data_received(self, data: bytes) -> None:
@@ -209,7 +250,6 @@
         self._target = ""
         self._headers = []
         self._body = b""
-        self._body_limit_bytes = 0
         self._in_message = True
         self._in_head = True
 
@@ -233,22 +273,27 @@
             self._check_head_size()
         self._head_bytes = 0
         self._target = self._url.decode("latin-1")
-        self._body_limit_bytes = self._handler.body_limit_bytes(self._target)
+        limit_bytes = self._handler.body_limit_bytes(self._target)
+        self._body_limit_bytes = limit_bytes
+        self._check_at_bytes = body_budget.UNRESERVED_BYTES
+        if limit_bytes < body_budget.UNRESERVED_BYTES:
+            self._check_at_bytes = limit_bytes
         if self._accepts_requests and self._expects_continue():
             assert self._transport is not None
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
+        if not self._accepts_requests:
+            return
         if not self._body:
             self._body = body
         else:
             if isinstance(self._body, bytes):
                 self._body = bytearray(self._body)
             self._body += body
-        if len(self._body) > self._body_limit_bytes and self._accepts_requests:
-            error = messages.BodyTooLargeError(self._body_limit_bytes)
-            self._reject(self._handler.refuse(error))
+        if len(self._body) > self._check_at_bytes:
+            self._check_body()
 
     def on_message_complete(self) -> None:
         """Completes a request and queues it for serving."""
@@ -266,6 +311,8 @@
             tuple(self._headers),
             self._body,
         )
+        if self._room is not None:
+            self._hand_room_to(request)
         # The request holds the body; the connection may be idle for long.
         self._body = b""
         keeps_alive = parser.should_keep_alive()
@@ -331,8 +378,13 @@
         if self._transport is None or self._transport.is_closing():
             return
         while pending and pending[0].response is not None:
-            if not self._write_response(pending.popleft()):
-                self._close()
+            queued = pending.popleft()
+            queued.release_body()
+            if not self._write_response(queued):
+                if queued.is_rejected:
+                    self._linger()
+                else:
+                    self._close()
                 return
         if pending:
             self._start_pending()
@@ -355,13 +407,28 @@
         self._transport.writelines(messages.encode(response, head_only, closes))
         return not closes
 
+    def _refuse(self, error: errors.InvalidInputError) -> None:
+        """Refuses the request that is being read, whose head is complete."""
+        if not self._accepts_requests:
+            return
+        self._port.counters.bodies_refused += 1
+        _LOG.warning(
+            "a request body was refused",
+            extra={"why": str(error), "read_bytes": len(self._body)},
+        )
+        self._reject(self._handler.refuse(error, self._head()))
+
     def _reject(self, response: messages.Response) -> None:
         """Queues the response to an invalid request and stops reading."""
         if not self._accepts_requests:
             return
         self._stop_reading()
+        self._body = b""
+        self._release_room()
         request = messages.Request("", "", (), b"")
-        self._pending.append(_PendingRequest(request, False, response=response))
+        self._pending.append(
+            _PendingRequest(request, False, response=response, is_rejected=True)
+        )
         self._write_responses()
 
     # ---- reading ---------------------------------------------------------
@@ -373,6 +440,56 @@
         if size_bytes > self._port.limits_of().header_bytes:
             self._reject(_plain(431, "The request headers are too large."))
 
+    def _head(self) -> messages.Request:
+        """Returns the request that is being read, without its body."""
+        method = _METHODS[self._parser.get_method()]
+        return messages.Request(method, self._target, tuple(self._headers), b"")
+
+    def _check_body(self) -> None:
+        """Compares a large body with its limit, and asks for room for it."""
+        size_bytes = len(self._body)
+        limit_bytes = self._body_limit_bytes
+        if limit_bytes > self._port.bodies.largest_bytes:
+            limit_bytes = self._port.bodies.largest_bytes
+        announced_bytes = _announced_length(self._headers)
+        if max(size_bytes, announced_bytes) > limit_bytes:
+            self._refuse(messages.BodyTooLargeError(limit_bytes))
+            return
+        if self._room is None:
+            self._room = body_room.BodyRoom(
+                self._port.bodies,
+                self._handler.body_wait_s(self._head()),
+                self._resume_body,
+                self._refuse,
+            )
+        wanted_bytes = announced_bytes
+        if not wanted_bytes:
+            wanted_bytes = min(_GROWTH * size_bytes, limit_bytes)
+        self._check_at_bytes = wanted_bytes
+        self._room.ask(wanted_bytes)
+        if self._room is not None and self._room.waits:
+            self._stop_read_timer()
+            self._update_reading()
+
+    def _resume_body(self) -> None:
+        """Reads on after a wait for room."""
+        self._update_reading()
+        self._limit_reading()
+
+    def _hand_room_to(self, request: messages.Request) -> None:
+        """Makes the request hold the room of its body."""
+        assert self._room is not None
+        request.hold = self._room.complete(len(request.body))
+        # The caller has waited for its whole request to be read.
+        request.arrived_s -= self._room.waited_s
+        self._room = None
+
+    def _release_room(self) -> None:
+        """Frees the room of a body that is not read further."""
+        if self._room is not None:
+            room, self._room = self._room, None
+            room.release()
+
     def _expects_continue(self) -> bool:
         """Whether the caller waits for 100 Continue before the body."""
         if self._pending:
@@ -388,6 +505,10 @@
         Without these limits, a slow caller or an endless request would hold
         memory for ever.
         """
+        if self._room is not None:
+            if self._room.waits:
+                return
+            self._room.on_progress()
         limits = self._port.limits_of()
         if self._in_head and self._head_bytes > limits.header_bytes:
             self._reject(_plain(431, "The request headers are too large."))
@@ -405,8 +526,7 @@
             self._reject(_plain(408, "The request headers took too long."))
             return
         limit_s = self._port.limits_of().idle_timeout_s
-        error = messages.BodyTooSlowError(limit_s)
-        self._reject(self._handler.refuse(error))
+        self._refuse(messages.BodyTooSlowError(limit_s))
 
     def _stop_read_timer(self) -> None:
         if self._read_timer is not None:
@@ -421,7 +541,9 @@
     def _update_reading(self) -> None:
         """Pauses or resumes reading, by the room for requests and responses."""
         room = self._writable and len(self._pending) < _MAX_OPEN_REQUESTS
-        paused = not (self._accepts_requests and room)
+        if self._room is not None and self._room.waits:
+            room = False
+        paused = not (self._drops_input or (self._accepts_requests and room))
         if paused == self._reading_paused or self._transport is None:
             return
         self._reading_paused = paused
@@ -469,8 +591,24 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _linger(self) -> None:
+        """Closes the connection once the caller has had time for a refusal.
+
+        It may still be sending the request. The rest is dropped: closing the
+        connection with unread bytes resets it, and the caller might lose the
+        refusal.
+        """
+        self._cancel_pending()
+        assert self._transport is not None
+        self._transport.write_eof()
+        self._drops_input = True
+        self._update_reading()
+        self._loop.call_later(_LINGER_S, self._transport.close)
+
     def _close(self) -> None:
         self._accepts_requests = False
+        self._body = b""
+        self._release_room()
         if self._transport is not None:
             self._transport.close()
         self._cancel_pending()
@@ -480,9 +618,18 @@
         for queued in self._pending:
             if queued.task is not None and queued.task is not current:
                 queued.task.cancel()
+            queued.release_body()
         self._pending.clear()
 
 
 def _plain(status: int, message: str) -> messages.Response:
     headers = (("content-type", "text/plain; charset=utf-8"),)
     return messages.Response(status, headers, message.encode())
+
+
+def _announced_length(headers: list[tuple[str, str]]) -> int:
+    """Returns the Content-Length, which the parser has checked; 0 if none."""
+    for name, value in headers:
+        if name == "content-length":
+            return int(value)
+    return 0
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from burdockfront import body_budget
 from burdockfront import errors
 from burdockfront import routes
 from burdockfront_node.internal import http_connection
@@ -33,6 +34,7 @@
         limits_of: Returns the limits on callers' requests now in effect; by
             default those of `routes.CallerLimits`.
         counters: Counters that the ports of a node share; by default its own.
+        bodies: The memory for large request bodies; by default a usual size.
     """
 
     def __init__(
@@ -41,9 +43,13 @@
         address: str,
         limits_of: http_connection.LimitsOf = routes.CallerLimits,
         counters: http_connection.PortCounters | None = None,
+        bodies: body_budget.BodyBudget | None = None,
     ):
         self._port = http_connection.PortState(
-            handler, limits_of, counters or http_connection.PortCounters()
+            handler,
+            limits_of,
+            counters or http_connection.PortCounters(),
+            bodies or body_budget.BodyBudget(),
         )
         self._address = address
         self._server: asyncio.Server | None = None
--- a/packages/burdockfront-node/src/burdockfront_node/internal/messages.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/messages.py
@@ -5,10 +5,15 @@
 import time
 
 from burdockfront import errors
+from burdockfront_client import calls
 from burdockfront_client import http_messages
 
 Headers = tuple[tuple[str, str], ...]
 
+# Share of the remaining time for which a large body may wait for memory. The
+# rest must do to read it and to serve the request.
+BODY_WAIT_SHARE = 0.5
+DEFAULT_BODY_WAIT_S = 2.0
 _NO_BODY = frozenset([204, 304])
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n"
@@ -36,6 +41,22 @@
         )
 
 
+class NoRoomError(errors.InvalidInputError):
+    """There is no memory for the request body.
+
+    Attributes:
+        retry_after_s: When there may be.
+    """
+
+    def __init__(self, retry_after_s: float):
+        self.retry_after_s = retry_after_s
+        super().__init__(
+            f"other request bodies take all memory that this node has for "
+            f"them; nothing was passed on. Send the request again after "
+            f"{retry_after_s:.2f} s."
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Request:
     """A request that has been read whole.
@@ -47,6 +68,7 @@
         body: The whole body.
         arrived_s: Monotonic time at which the last byte was read. The request
             may wait behind earlier ones of its connection before it is served.
+        hold: Keeps the room of a large body; None for others.
     """
 
     method: str
@@ -54,6 +76,7 @@
     headers: Headers
     body: http_messages.Body
     arrived_s: float = dataclasses.field(default_factory=time.monotonic)
+    hold: calls.BodyHold | None = None
 
     def header(self, name: str) -> str | None:
         """Returns the first header with this lower-case name, or None."""
--- a/packages/burdockfront-node/src/burdockfront_node/internal_app.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_app.py
@@ -18,11 +18,13 @@
 from burdockfront import context as context_lib
 from burdockfront import errors
 from burdockfront import keyring as keyring_lib
+from burdockfront import outcomes
 from burdockfront import tickets
 from burdockfront import timeline
 from burdockfront_client import calls
 from burdockfront_client import wire
 from burdockfront_node import guard as guard_lib
+from burdockfront_node import problems
 from burdockfront_node.internal import asgi
 from burdockfront_node.internal import compression
 from burdockfront_node.internal import messages
@@ -70,7 +72,36 @@
             attempt = self._attempt_of(request)
         except errors.BurdockfrontError as error:
             return messages.Response(403, (), str(error).encode())
-        answer = await self._guard.handle(attempt)
+        return self._response(attempt, await self._guard.handle(attempt))
+
+    def body_wait_s(self, head: messages.Request) -> float:
+        """Returns how long a large body may wait for memory."""
+        attempt = self._attempt_of_head(head)
+        if attempt is None:
+            return messages.DEFAULT_BODY_WAIT_S
+        return attempt.context.remaining_s * messages.BODY_WAIT_SHARE
+
+    def refuse(
+        self,
+        error: errors.InvalidInputError,
+        head: messages.Request | None = None,
+    ) -> messages.Response:
+        """Returns the response to a request that was not read whole.
+
+        The node that made a call learns that it did not run. Without that it
+        would have to assume that it may have.
+        """
+        attempt = self._attempt_of_head(head) if head is not None else None
+        if attempt is None:
+            return messages.Response(403, (), str(error).encode())
+        refusal = problems.of_unread(error)
+        return self._response(
+            attempt, self._guard.refuse_unread(attempt, refusal)
+        )
+
+    def _response(
+        self, attempt: calls.Attempt, answer: outcomes.Answer
+    ) -> messages.Response:
         stamp = self._clock.tick(time.time())
         description = wire.encode_answer(
             answer, attempt.context.attempt_id, stamp
@@ -78,9 +109,14 @@
         headers = (*answer.headers, (wire.ANSWER, description))
         return messages.Response(answer.status, headers, answer.body)
 
-    def refuse(self, error: errors.InvalidInputError) -> messages.Response:
-        """Returns the response to a request that was not read whole."""
-        return messages.Response(403, (), str(error).encode())
+    def _attempt_of_head(self, head: messages.Request) -> calls.Attempt | None:
+        """Returns the attempt of a call that is being read; None if none."""
+        if not head.target.startswith(wire.CALL_PREFIX):
+            return None
+        try:
+            return self._attempt_of(head)
+        except errors.BurdockfrontError:
+            return None
 
     def _attempt_of(self, request: messages.Request) -> calls.Attempt:
         received = wire.read_call(request.headers)
@@ -105,6 +141,7 @@
             host=received.metadata.host,
             origin_service=received.metadata.origin_service,
             account=received.metadata.account,
+            hold=request.hold,
         )
         return calls.Attempt(call, context, ticket, received.report)
 
--- a/packages/burdockfront-node/src/burdockfront_node/problems.py
+++ b/packages/burdockfront-node/src/burdockfront_node/problems.py
@@ -38,11 +38,15 @@
     outcomes.Reason.NO_CONFIGURATION: "No configuration is known yet.",
     outcomes.Reason.HEADERS_TOO_LARGE: "The headers are too large.",
     outcomes.Reason.TOO_SLOW: "The request took too long to arrive.",
+    outcomes.Reason.NO_ROOM: "Other request bodies take all memory there is "
+    "for them.",
 }
 
 
 def of_error(error: errors.BurdockfrontError) -> outcomes.Answer:
     """Returns the answer that rejects invalid input."""
+    if isinstance(error, messages.NoRoomError):
+        return outcomes.not_run(outcomes.Reason.NO_ROOM, error.retry_after_s)
     status = 400
     reason = outcomes.Reason.BAD_REQUEST
     if isinstance(error, errors.AuthenticationError):
@@ -61,6 +65,18 @@
     )
 
 
+def of_unread(error: errors.InvalidInputError) -> outcomes.Answer:
+    """Returns the refusal of a request that was not read whole."""
+    if isinstance(error, messages.NoRoomError):
+        return outcomes.not_run(outcomes.Reason.NO_ROOM, error.retry_after_s)
+    reason = outcomes.Reason.BAD_REQUEST
+    if isinstance(error, messages.BodyTooLargeError):
+        reason = outcomes.Reason.TOO_LARGE
+    elif isinstance(error, messages.BodyTooSlowError):
+        reason = outcomes.Reason.TOO_SLOW
+    return outcomes.refused_input(reason, str(error))
+
+
 def to_http(
     entry: base.Entry, answer: outcomes.Answer
 ) -> tuple[list[tuple[str, str]], bytes]:
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -338,6 +338,7 @@
                 settings.caller_address,
                 lambda: self._resolver.limits,
                 self._port_counters,
+                self._caller_bodies,
             ),
             self._internal_port(),
             servers.Listener(
--- a/packages/burdockfront-node/src/burdockfront_node/routed_entry.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_entry.py
@@ -7,6 +7,7 @@
 from burdockfront import outcomes
 from burdockfront import routes
 from burdockfront_node import adapters
+from burdockfront_node import problems
 from burdockfront_node.filters import base
 from burdockfront_node.internal import messages
 
@@ -64,7 +65,7 @@
         try:
             answer = await self._chain(entry)
         except errors.InvalidInputError as error:
-            answer = _refusal_of(error)
+            answer = problems.of_unread(error)
         except Exception:
             # An internal error must not look like a request that did not run:
             # the request may have reached the backend server.
@@ -72,9 +73,30 @@
             answer = outcomes.unknown(outcomes.Reason.LOST_ANSWER)
         return self._response(answer, request_id)
 
-    def refuse(self, error: errors.InvalidInputError) -> messages.Response:
+    def body_wait_s(self, head: messages.Request) -> float:
+        """Returns how long a large body may wait for memory."""
+        try:
+            remaining_s = self._dialect.terms_of(head.headers).remaining_s
+        except errors.InvalidInputError:
+            # It is refused when it has been read.
+            remaining_s = None
+        if remaining_s is None:
+            return messages.DEFAULT_BODY_WAIT_S
+        return remaining_s * messages.BODY_WAIT_SHARE
+
+    def refuse(
+        self,
+        error: errors.InvalidInputError,
+        head: messages.Request | None = None,
+    ) -> messages.Response:
         """Returns the answer to a request that can't be parsed."""
-        return self._response(_refusal_of(error), "")
+        request_id = ""
+        if head is not None:
+            try:
+                request_id = self._dialect.terms_of(head.headers).request_id
+            except errors.InvalidInputError:
+                pass
+        return self._response(problems.of_unread(error), request_id)
 
     def _response(
         self, answer: outcomes.Answer, request_id: str, closes: bool = False
@@ -85,13 +107,3 @@
 
 def _leaving() -> outcomes.Answer:
     return outcomes.not_run(outcomes.Reason.DRAINING, _LEAVING_RETRY_S)
-
-
-def _refusal_of(error: errors.InvalidInputError) -> outcomes.Answer:
-    """Returns the refusal of invalid input."""
-    reason = outcomes.Reason.BAD_REQUEST
-    if isinstance(error, messages.BodyTooLargeError):
-        reason = outcomes.Reason.TOO_LARGE
-    elif isinstance(error, messages.BodyTooSlowError):
-        reason = outcomes.Reason.TOO_SLOW
-    return outcomes.refused_input(reason, str(error))
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -9,6 +9,7 @@
 import pydantic
 import yaml
 
+from burdockfront import body_budget
 from burdockfront import errors
 from burdockfront import levels
 from burdockfront import policy
@@ -16,9 +17,13 @@
 from burdockfront_node import yaml_lines
 
 _BYTES_PER_MB = 1_000_000
-# A complete answer is copied while it is forwarded, and the ledger has a limit
-# of its own, so that incomplete answers get only a small part of the memory.
+# Shares of the memory that a node may use. What they leave is for the process
+# at rest, the ledger, and answers that are being sent.
 _INCOMPLETE_ANSWERS_SHARE = 0.125
+# At each of the two ports that take requests.
+_REQUEST_BODIES_SHARE = 0.2
+# Limit on a single body, which may exceed the share while there is no other.
+_LARGEST_BODY_SHARE = 0.4
 
 
 def _check_address(value: str) -> str:
@@ -173,6 +178,20 @@
             return answer_memory.DEFAULT_CAPACITY_BYTES
         return round(self.memory_mb * _BYTES_PER_MB * _INCOMPLETE_ANSWERS_SHARE)
 
+    @property
+    def request_bodies_bytes(self) -> int:
+        """Limit on the large request bodies of one port, all together."""
+        if not self.memory_mb:
+            return body_budget.DEFAULT_CAPACITY_BYTES
+        return round(self.memory_mb * _BYTES_PER_MB * _REQUEST_BODIES_SHARE)
+
+    @property
+    def largest_body_bytes(self) -> int:
+        """Limit on a single request body, whatever operators allow."""
+        if not self.memory_mb:
+            return body_budget.DEFAULT_LARGEST_BYTES
+        return round(self.memory_mb * _BYTES_PER_MB * _LARGEST_BODY_SHARE)
+
     @pydantic.model_validator(mode="after")
     def _check_keys(self) -> "NodeSettings":
         """Requires keys unless the node is routed.
--- a/packages/burdockfront-node/src/burdockfront_node/ticket_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/ticket_runs.py
@@ -75,6 +75,30 @@
                 self.replayed += 1
                 return dataclasses.replace(verdict.answer, unspent=0)
 
+    def refuse(
+        self, ticket: tickets.Ticket, refusal: outcomes.Answer
+    ) -> outcomes.Answer:
+        """Refuses an attempt whose request was not read whole.
+
+        An earlier attempt with the same ticket may be running, so only the
+        ledger can tell whether `refusal` is true.
+        """
+        verdict = self._ledger.begin(ticket, self._wall_s())
+        match verdict.decision:
+            case ledger_lib.Decision.RUN:
+                self._ledger.close(ticket.nonce, refusal)
+                return refusal
+            case ledger_lib.Decision.FORWARD:
+                assert verdict.moved_to is not None
+                return _moved(verdict.moved_to)
+            case ledger_lib.Decision.WAIT:
+                return outcomes.unknown(
+                    outcomes.Reason.STILL_RUNNING, admission.RETRY_AFTER_S
+                )
+            case _:
+                assert verdict.answer is not None
+                return dataclasses.replace(verdict.answer, unspent=0)
+
     def look_up(self, ticket: tickets.Ticket) -> ledger_lib.Verdict:
         """Returns the state of a ticket without running it."""
         return self._ledger.look_up(ticket, self._wall_s())
@@ -92,6 +116,10 @@
         task.add_done_callback(
             lambda done: self._running.pop(ticket.nonce, None)
         )
+        hold = attempt.call.hold
+        if hold is not None:
+            hold.retain()
+            task.add_done_callback(lambda done: hold.release())
         return await self._await_run(ticket.nonce, task)
 
     async def _await_run(
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -58,6 +58,7 @@
     TOO_LARGE = "too-large"
     HEADERS_TOO_LARGE = "headers-too-large"
     TOO_SLOW = "too-slow"
+    NO_ROOM = "no-room"
 
 
 @dataclasses.dataclass(slots=True)
@@ -154,6 +155,7 @@
     Reason.TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
     Reason.TOO_SLOW: 408,
+    Reason.NO_ROOM: 503,
 }
 
 
