Pass on each body that operators allow, also between nodes

Cause: the port between nodes had a limit of its own.

Change: a call has been compared with the operator's limit where it entered; between nodes its body is limited by the memory of the VM alone, as at the entry. Messages between nodes keep their limit.

--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -313,6 +313,7 @@
             self._keys,
             self._recorder,
             self._internal_application(),
+            self._settings.largest_body_bytes,
         )
         return http_port.Port(
             handler,
--- a/packages/burdockfront-node/src/burdockfront_node/internal_app.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_app.py
@@ -30,7 +30,7 @@
 from burdockfront_node.internal import messages
 
 JsonHandler = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
-_MAX_BODY_BYTES = 16_000_000
+_MAX_MESSAGE_BYTES = 16_000_000
 _BEARER = "Bearer "
 
 
@@ -42,6 +42,7 @@
         keys: Verify the signatures of contexts and tickets.
         recorder: Provides the clock whose stamps are exchanged with calls.
         fallback: Answers all requests of the port that are not calls.
+        largest_body_bytes: Limit on the body of a call.
     """
 
     def __init__(
@@ -50,15 +51,24 @@
         keys: keyring_lib.KeyRing,
         recorder: timeline.Recorder,
         fallback: applications.Starlette,
+        largest_body_bytes: int,
     ):
         self._guard = guard
         self._keys = keys
         self._clock = recorder.clock
         self._fallback = fallback
+        self._largest_body_bytes = largest_body_bytes
 
     def body_limit_bytes(self, target: str) -> int:
-        """Returns the maximum body size over all services."""
-        return _MAX_BODY_BYTES
+        """Returns the maximum body size.
+
+        The node where a request entered has compared it with the limit of its
+        operators or its service. Here only the memory of this node limits it:
+        refused, it would fail at some servers and run at others.
+        """
+        if target.startswith(wire.CALL_PREFIX):
+            return self._largest_body_bytes
+        return _MAX_MESSAGE_BYTES
 
     def may_overlap(self, request: messages.Request) -> bool:
         """Returns False: nodes do not pipeline requests."""
@@ -200,7 +210,7 @@
     body = compression.unpack(
         await request.body(),
         request.headers.get("content-encoding", ""),
-        _MAX_BODY_BYTES,
+        _MAX_MESSAGE_BYTES,
     )
     message: dict[str, Any] = orjson.loads(body) if body else {}
     return message
