Give the answers that the ledger keeps a limit of their own

No log line says why.

Cause: the ledger had one limit (64 MB) for the fact that a ticket was handed over and for the body of its answer. A full ledger refuses tickets, as one that it forgets could run twice. So answers used up the room for facts.

Change: answers have a limit that follows from the memory in the settings, and the oldest are forgotten first. A repeat of a ticket whose answer is forgotten gets 'unknown', answer-forgotten, never a second run; the look-up of a ticket still says done. A full ledger is recorded (ledger.full, guard.refused_full).

A property that draws the full ledger also draws forgotten answers now.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -125,6 +125,7 @@
             "guard.slots_claimed": self._guard.slots_claimed,
             "ledger.entries": len(self._guard.ledger),
             "ledger.used_bytes": self._guard.ledger.used_bytes,
+            "ledger.answers_bytes": self._guard.ledger.answers_bytes,
             "members.known": len(self._exchange.membership.members()),
             "requests.suspected": crashes.suspects,
             "requests.quarantined": len(crashes.quarantined),
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -194,7 +194,10 @@
             self._recorder,
         )
         ledger = ledger_lib.Ledger(
-            settings.node_id, self._boot_id, settings.ledger_bytes
+            settings.node_id,
+            self._boot_id,
+            settings.ledger_bytes,
+            settings.kept_answers_bytes,
         )
         self._backend_load = self._new_backend_load()
         self._guard = guard_lib.Guard(
--- a/packages/burdockfront-node/src/burdockfront_node/guard.py
+++ b/packages/burdockfront-node/src/burdockfront_node/guard.py
@@ -44,6 +44,8 @@
 _TICK_S = 0.02
 # Interval between ticks while no calls wait or are refused.
 _IDLE_TICK_S = 0.5
+# Minimum time between two records of a full ledger.
+_FULL_RECORD_S = 1.0
 # Members are suspected wrongly for a second or two at most.
 _SCARCITY_HOLD_S = 3.0
 
@@ -145,6 +147,8 @@
         self._gate: gate_lib.Gate | None = None
         self._pressure = asyncio.Event()
         self._recorded_level = levels.OPEN
+        self._refused_full = 0
+        self._full_recorded_s = -_FULL_RECORD_S
         self._is_scarce = False
         self._scarce_since_s = time.monotonic()
 
@@ -191,6 +195,8 @@
             if self._server_load
             else 0,
             "replayed": self.tickets.replayed,
+            "answers_forgotten": self.ledger.answers_forgotten,
+            "refused_full": self.ledger.refused_full,
             "cancelled": self._gate.cancelled if self._gate else 0,
         }
 
@@ -289,6 +295,8 @@
             attempt = self._lineage.classify(attempt)
         if attempt.ticket is not None:
             answer = await self.tickets.serve(attempt, attempt.ticket)
+            if self.ledger.refused_full != self._refused_full:
+                self._record_full_ledger()
         elif attempt.call.idempotent:
             refusal = await self._admit(attempt)
             answer = refusal or await self._runs.run(attempt, None)
@@ -296,6 +304,20 @@
             answer = outcomes.not_run(outcomes.Reason.TICKET_NEEDED)
         return self._with_state(attempt, answer)
 
+    def _record_full_ledger(self) -> None:
+        """Records that tickets are refused for room, at most once a second."""
+        now_s = time.monotonic()
+        if now_s < self._full_recorded_s + _FULL_RECORD_S:
+            return
+        self._full_recorded_s = now_s
+        self._refused_full = self.ledger.refused_full
+        self._recorder.record(
+            time.time(),
+            "ledger.full",
+            entries=len(self.ledger),
+            refused=self._refused_full,
+        )
+
     def refuse_unread(
         self, attempt: calls.Attempt, refusal: outcomes.Answer
     ) -> outcomes.Answer:
--- a/packages/burdockfront-node/src/burdockfront_node/problems.py
+++ b/packages/burdockfront-node/src/burdockfront_node/problems.py
@@ -28,6 +28,8 @@
     "ticket is gone, or the ticket is too old. If it was never sent before, "
     "take a new ticket; otherwise look up the result in the service itself.",
     outcomes.Reason.STILL_RUNNING: "It is still running; ask again.",
+    outcomes.Reason.ANSWER_FORGOTTEN: "It has run; its answer is no longer "
+    "kept. Look up the result in the service itself.",
     outcomes.Reason.NO_SUCH_SERVICE: "No such service is known.",
     outcomes.Reason.BAD_REQUEST: "The request is not valid.",
     outcomes.Reason.TOO_LARGE: "The request is too large.",
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -11,6 +11,7 @@
 
 from burdockfront import body_budget
 from burdockfront import errors
+from burdockfront import ledger
 from burdockfront import levels
 from burdockfront import policy
 from burdockfront_client import answer_memory
@@ -20,6 +21,7 @@
 # Shares of the memory that a node may use. What they leave is for the process
 # at rest, the ledger, and answers that are being sent.
 _INCOMPLETE_ANSWERS_SHARE = 0.125
+_KEPT_ANSWERS_SHARE = 0.05
 # At each of the two ports that take requests.
 _REQUEST_BODIES_SHARE = 0.2
 # Limit on a single body, which may exceed the share while there is no other.
@@ -178,6 +180,13 @@
             return answer_memory.DEFAULT_CAPACITY_BYTES
         return round(self.memory_mb * _BYTES_PER_MB * _INCOMPLETE_ANSWERS_SHARE)
 
+    @property
+    def kept_answers_bytes(self) -> int:
+        """Limit on the answers that are kept for repeats, all together."""
+        if not self.memory_mb:
+            return ledger.DEFAULT_ANSWERS_BYTES
+        return round(self.memory_mb * _BYTES_PER_MB * _KEPT_ANSWERS_SHARE)
+
     @property
     def request_bodies_bytes(self) -> int:
         """Limit on the large request bodies of one port, all together."""
--- a/packages/burdockfront-node/src/burdockfront_node/ticket_runs.py
+++ b/packages/burdockfront-node/src/burdockfront_node/ticket_runs.py
@@ -67,13 +67,10 @@
                 return await self._start(attempt, ticket)
             case ledger_lib.Decision.WAIT:
                 return await self._wait_for(ticket, attempt.context)
-            case ledger_lib.Decision.FORWARD:
-                assert verdict.moved_to is not None
-                return _moved(verdict.moved_to)
             case _:
-                assert verdict.answer is not None
-                self.replayed += 1
-                return dataclasses.replace(verdict.answer, unspent=0)
+                if verdict.answer is not None:
+                    self.replayed += 1
+                return _answer_of(verdict)
 
     def refuse(
         self, ticket: tickets.Ticket, refusal: outcomes.Answer
@@ -88,16 +85,12 @@
             case ledger_lib.Decision.RUN:
                 self._ledger.close(ticket.nonce, refusal)
                 return refusal
-            case ledger_lib.Decision.FORWARD:
-                assert verdict.moved_to is not None
-                return _moved(verdict.moved_to)
             case ledger_lib.Decision.WAIT:
                 return outcomes.unknown(
                     outcomes.Reason.STILL_RUNNING, admission.RETRY_AFTER_S
                 )
             case _:
-                assert verdict.answer is not None
-                return dataclasses.replace(verdict.answer, unspent=0)
+                return _answer_of(verdict)
 
     def look_up(self, ticket: tickets.Ticket) -> ledger_lib.Verdict:
         """Returns the state of a ticket without running it."""
@@ -188,3 +181,13 @@
 def _moved(successor: str) -> outcomes.Answer:
     answer = outcomes.unknown(outcomes.Reason.DRAINING)
     return dataclasses.replace(answer, moved_to=successor)
+
+
+def _answer_of(verdict: ledger_lib.Verdict) -> outcomes.Answer:
+    """Returns the answer to a ticket that neither runs nor may run."""
+    if verdict.moved_to is not None:
+        return _moved(verdict.moved_to)
+    if verdict.decision is ledger_lib.Decision.FORGOTTEN:
+        return outcomes.unknown(outcomes.Reason.ANSWER_FORGOTTEN)
+    assert verdict.answer is not None
+    return dataclasses.replace(verdict.answer, unspent=0)
--- a/packages/burdockfront-node/src/burdockfront_node/ticket_status.py
+++ b/packages/burdockfront-node/src/burdockfront_node/ticket_status.py
@@ -86,6 +86,8 @@
             return "running"
         case ledger.Decision.FORWARD:
             return "moved"
+        case ledger.Decision.FORGOTTEN:
+            return outcomes.Outcome.DONE.value
         case ledger.Decision.REFUSE:
             return "unknown"
         case _:
--- a/packages/burdockfront/src/burdockfront/ledger.py
+++ b/packages/burdockfront/src/burdockfront/ledger.py
@@ -10,6 +10,11 @@
 entered only from absent. An entry stays until its ticket has expired, so a
 late repeat always finds it and cannot run a second time.
 
+The answers of FINISHED tickets are kept for repeats, but have a limit of their
+own: the oldest are forgotten first. A repeat then learns that it has run, and
+gets no answer. With one limit for entries and answers, a few large answers
+would leave no room for entries, and no ticket would run until they expire.
+
 CLOSED is needed when two attempts carry one ticket: the first is delayed in the
 network, the second is refused with `not-run`, then the first arrives. If the
 first ran, the `not-run` answer would be false. The refusal therefore closes the
@@ -26,6 +31,10 @@
 # checked just before the expiry still finds its entry.
 _GRACE_S = 30.0
 _ENTRY_BYTES = 400
+# Estimated memory of an answer besides its body and headers, and of a header.
+_ANSWER_BYTES = 600
+_HEADER_BYTES = 160
+DEFAULT_ANSWERS_BYTES = 16_000_000
 
 
 class Decision(enum.Enum):
@@ -35,6 +44,7 @@
     REPLAY = "replay"
     WAIT = "wait"
     FORWARD = "forward"
+    FORGOTTEN = "forgotten"
     REFUSE = "refuse"
 
 
@@ -42,6 +52,7 @@
 class _Entry:
     expires_s: float
     handed_over: bool = False
+    finished: bool = False
     answer: outcomes.Answer | None = None
     moved_to: str | None = None
 
@@ -61,27 +72,46 @@
     Args:
         node_id: The owner's id.
         boot_id: Id of the owner's process.
-        capacity_bytes: Memory limit of entries and stored answers. A full
-            ledger refuses new tickets instead of evicting entries, because
-            an evicted ticket could run twice.
+        capacity_bytes: Memory limit of the entries. A full ledger refuses new
+            tickets instead of evicting entries, because an evicted ticket
+            could run twice.
+        answers_bytes: Memory limit of the answers that are kept for repeats.
+
+    Attributes:
+        answers_forgotten: Number of answers forgotten for room so far.
+        refused_full: Number of tickets refused for room so far.
     """
 
     def __init__(
-        self, node_id: str, boot_id: str, capacity_bytes: int = 64_000_000
+        self,
+        node_id: str,
+        boot_id: str,
+        capacity_bytes: int = 64_000_000,
+        answers_bytes: int = DEFAULT_ANSWERS_BYTES,
     ):
+        self.answers_forgotten = 0
+        self.refused_full = 0
         self._node_id = node_id
         self._boot_id = boot_id
         self._capacity_bytes = capacity_bytes
-        self._used_bytes = 0
+        self._answers_capacity_bytes = answers_bytes
         self._entries: dict[str, _Entry] = {}
+        # Sizes of the answers that are kept, the oldest first.
+        self._answer_sizes: dict[str, int] = {}
+        self._answers_bytes = 0
 
     def __len__(self) -> int:
         return len(self._entries)
 
     @property
     def used_bytes(self) -> int:
-        """Estimated memory of all entries."""
-        return self._used_bytes
+        """Estimated memory of all entries, without answers."""
+        return len(self._entries) * _ENTRY_BYTES
+
+    @property
+    def answers_bytes(self) -> int:
+        """Estimated memory of the answers that are kept for repeats."""
+        return self._answers_bytes
 
     def begin(self, ticket: tickets.Ticket, wall_s: float) -> Verdict:
         """Decides what to do with a ticket, and reserves it if it may run.
@@ -93,7 +123,6 @@
         verdict = self.look_up(ticket, wall_s)
         if verdict.decision is Decision.RUN:
             self._entries[ticket.nonce] = _Entry(ticket.expires_s)
-            self._used_bytes += _ENTRY_BYTES
         return verdict
 
     def look_up(self, ticket: tickets.Ticket, wall_s: float) -> Verdict:
@@ -150,8 +179,16 @@
         assert entry.handed_over, (
             "only a ticket that was handed over has an answer"
         )
+        entry.finished = True
         entry.answer = answer
-        self._used_bytes += len(answer.body)
+        size_bytes = _size_of(answer)
+        self._answer_sizes[nonce] = size_bytes
+        self._answers_bytes += size_bytes
+        while self._answers_bytes > self._answers_capacity_bytes:
+            self.answers_forgotten += 1
+            oldest = next(iter(self._answer_sizes))
+            self._entries[oldest].answer = None
+            self._drop_answer(oldest)
 
     def expire(self, wall_s: float) -> int:
         """Removes entries of expired tickets and returns their number."""
@@ -161,11 +198,13 @@
             if entry.expires_s + _GRACE_S < wall_s
         ]
         for nonce in expired:
-            entry = self._entries.pop(nonce)
-            body_bytes = len(entry.answer.body) if entry.answer else 0
-            self._used_bytes -= _ENTRY_BYTES + body_bytes
+            del self._entries[nonce]
+            self._drop_answer(nonce)
         return len(expired)
 
+    def _drop_answer(self, nonce: str) -> None:
+        self._answers_bytes -= self._answer_sizes.pop(nonce, 0)
+
     def _refusal(
         self, ticket: tickets.Ticket, wall_s: float
     ) -> outcomes.Answer | None:
@@ -174,9 +213,10 @@
         )
         if not owned or wall_s > ticket.expires_s:
             return outcomes.unknown(outcomes.Reason.TICKET_OWNER_GONE)
-        if self._used_bytes >= self._capacity_bytes:
+        if self.used_bytes >= self._capacity_bytes:
             # Not `not-run`: the refusal is not stored, so this ticket may
             # still run if a delayed attempt arrives when there is room again.
+            self.refused_full += 1
             return outcomes.unknown(outcomes.Reason.OVERLOAD, 1.0)
         return None
 
@@ -186,4 +226,13 @@
         return Verdict(Decision.FORWARD, moved_to=entry.moved_to)
     if entry.answer is not None:
         return Verdict(Decision.REPLAY, answer=entry.answer)
+    if entry.finished:
+        return Verdict(Decision.FORGOTTEN)
     return Verdict(Decision.WAIT)
+
+
+def _size_of(answer: outcomes.Answer) -> int:
+    headers_bytes = sum(
+        len(name) + len(value) + _HEADER_BYTES for name, value in answer.headers
+    )
+    return _ANSWER_BYTES + headers_bytes + len(answer.body)
--- a/packages/burdockfront/src/burdockfront/outcomes.py
+++ b/packages/burdockfront/src/burdockfront/outcomes.py
@@ -52,6 +52,7 @@
     TICKET_BAD = "ticket-bad"
     TICKET_OWNER_GONE = "ticket-owner-gone"
     STILL_RUNNING = "still-running"
+    ANSWER_FORGOTTEN = "answer-forgotten"
     NO_SUCH_SERVICE = "no-such-service"
     CALLER_GONE = "caller-gone"
     BAD_REQUEST = "bad-request"
@@ -149,6 +150,7 @@
     Reason.TICKET_BAD: 422,
     Reason.TICKET_OWNER_GONE: 409,
     Reason.STILL_RUNNING: 409,
+    Reason.ANSWER_FORGOTTEN: 409,
     Reason.NO_SUCH_SERVICE: 404,
     Reason.CALLER_GONE: 503,
     Reason.BAD_REQUEST: 400,
--- a/tests/properties/test_at_most_once.py
+++ b/tests/properties/test_at_most_once.py
@@ -30,7 +30,9 @@
         self.running = set()
 
     def _new_ledger(self):
-        return ledger.Ledger("n1", f"b{self.boot}", capacity_bytes=1500)
+        return ledger.Ledger(
+            "n1", f"b{self.boot}", capacity_bytes=1500, answers_bytes=2_000
+        )
 
     @stateful.rule(nonce=strategies.sampled_from(_NONCES))
     def issue(self, nonce):
@@ -48,6 +50,8 @@
         verdict = self.ledger.begin(self.tickets[nonce], self.now_s)
         if verdict.decision is ledger.Decision.RUN:
             self.reserved.add(nonce)
+        elif verdict.decision is ledger.Decision.FORGOTTEN:
+            assert self.runs[nonce] == 1, "a forgotten answer is that of a run"
         elif verdict.answer is not None:
             self._record_answer(nonce, verdict.answer.outcome)
 
@@ -125,3 +129,36 @@
     verdict = restarted.begin(builders.a_ticket(boot_id="b1"), 0.0)
     assert verdict.decision is ledger.Decision.REFUSE
     assert verdict.answer.outcome == "unknown"
+
+
+def test_answers_leave_room_for_tickets():
+    """Guards against a node that refuses all confirmations for minutes."""
+    entries_bytes = 64_000_000
+    answers_bytes = 16_000_000
+    owner = ledger.Ledger("n1", "b1", entries_bytes, answers_bytes)
+    body = b"x" * 36_000
+    per_s, lifetime_s = 30, 900.0
+    for number in range(per_s * 3_600):
+        now_s = number / per_s
+        if number % (60 * per_s) == 0:
+            owner.expire(now_s)
+        ticket = builders.a_ticket(f"t{number}", expires_s=now_s + lifetime_s)
+        verdict = owner.begin(ticket, now_s)
+        assert verdict.decision is ledger.Decision.RUN
+        owner.hand_over(ticket.nonce)
+        owner.finish(ticket.nonce, builders.an_answer(body))
+        assert owner.answers_bytes <= answers_bytes
+        assert owner.used_bytes + owner.answers_bytes < entries_bytes
+
+
+def test_forgotten_answer_is_not_run_again():
+    """Guards against a second run in place of an answer that is not kept."""
+    owner = ledger.Ledger("n1", "b1", answers_bytes=2_000)
+    first, second = builders.a_ticket("first"), builders.a_ticket("second")
+    for ticket in (first, second):
+        owner.begin(ticket, 0.0)
+        owner.hand_over(ticket.nonce)
+        owner.finish(ticket.nonce, builders.an_answer(b"x" * 1_000))
+    assert owner.begin(first, 0.0).decision is ledger.Decision.FORGOTTEN
+    assert owner.begin(second, 0.0).decision is ledger.Decision.REPLAY
+    assert owner.answers_forgotten == 1
