Take the function calls of large bodies off the path of usual requests

An encoded request always is a tuple of parts now, which its connection writes without a look at its kind; the limit on messages between nodes is compared where messages are served, not for each call.

Tests pass requests as tuples.

A waiting body looks for stalled ones ten times a second, and half a second without progress counts as a stall: with a smaller room, six uploads that stall, two at a time, cost the next one all of its time (503 after 3 s).

--- a/packages/burdockfront-client/src/burdockfront_client/connection.py
+++ b/packages/burdockfront-client/src/burdockfront_client/connection.py
@@ -175,7 +175,7 @@
         answer is no longer awaited.
 
         Args:
-            request: The encoded request.
+            request: The parts of the encoded request.
             is_own: Returns whether an answer belongs to this request.
             limit_bytes: Maximum size of the answer's body.
             timeout_s: Time limit for receiving the complete answer.
@@ -199,10 +199,7 @@
             is_own,
             loop.call_later(timeout_s, self._on_timeout, timeout_s),
         )
-        if isinstance(request, bytes):
-            self._transport.write(request)
-        else:
-            self._transport.writelines(request)
+        self._transport.writelines(request)
         try:
             answer = await pending.answer
         except asyncio.CancelledError:
--- a/packages/burdockfront-client/src/burdockfront_client/http_messages.py
+++ b/packages/burdockfront-client/src/burdockfront_client/http_messages.py
@@ -8,8 +8,8 @@
 MAX_JOINED_BYTES = 65_536
 # A large body stays in the buffer in which it was received; nobody changes it.
 Body = bytes | bytearray
-# An encoded request: in one piece, or its head and a large body.
-Encoded = bytes | tuple[bytes, Body]
+# The parts of an encoded request: one piece, or its head and a large body.
+Encoded = tuple[Body, ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,13 +47,13 @@
     line = f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n"
     fields = "".join([f"{name}: {value}\r\n" for name, value in headers])
     if not body and method in ("GET", "HEAD"):
-        return f"{line}{fields}\r\n".encode("latin-1")
+        return (f"{line}{fields}\r\n".encode("latin-1"),)
     size_bytes = len(body)
     length = f"content-length: {size_bytes}\r\n\r\n"
     head = f"{line}{fields}{length}".encode("latin-1")
     if size_bytes > MAX_JOINED_BYTES:
         return head, body
-    return head + body
+    return (head + body,)
 
 
 def keep_alive_of(answer: RawAnswer) -> float | None:
--- a/packages/burdockfront-node/src/burdockfront_node/internal/body_room.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/body_room.py
@@ -11,6 +11,9 @@
 from burdockfront import body_budget
 from burdockfront_node.internal import messages
 
+# Interval at which a body that waits looks for others that have stalled.
+_CHECK_S = 0.1
+
 
 class BodyRoom:
     """The room of one body.
@@ -82,7 +85,7 @@
 
     def _schedule_check(self) -> None:
         self._timer = self._loop.call_later(
-            min(self._left_s, body_budget.STALL_S), self._check
+            min(self._left_s, _CHECK_S), self._check
         )
 
     def _check(self) -> None:
--- a/packages/burdockfront-node/src/burdockfront_node/internal_app.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal_app.py
@@ -66,9 +66,7 @@
         operators or its service. Here only the memory of this node limits it:
         refused, it would fail at some servers and run at others.
         """
-        if target.startswith(wire.CALL_PREFIX):
-            return self._largest_body_bytes
-        return _MAX_MESSAGE_BYTES
+        return self._largest_body_bytes
 
     def may_overlap(self, request: messages.Request) -> bool:
         """Returns False: nodes do not pipeline requests."""
@@ -77,6 +75,9 @@
     async def serve(self, request: messages.Request) -> messages.Response:
         """Runs a call, or passes any other request to the fallback."""
         if not request.target.startswith(wire.CALL_PREFIX):
+            if len(request.body) > _MAX_MESSAGE_BYTES:
+                too_large = messages.BodyTooLargeError(_MAX_MESSAGE_BYTES)
+                return messages.Response(413, (), str(too_large).encode())
             return await asgi.call(self._fallback, request)  # type: ignore[arg-type]
         try:
             attempt = self._attempt_of(request)
--- a/packages/burdockfront/src/burdockfront/body_budget.py
+++ b/packages/burdockfront/src/burdockfront/body_budget.py
@@ -27,8 +27,9 @@
 DEFAULT_LARGEST_BYTES = 100_000_000
 # Bodies up to this size have no reservation, so usual requests cost nothing.
 UNRESERVED_BYTES = 65_536
-# A body that receives nothing for this long has stalled.
-STALL_S = 1.0
+# A body that receives nothing for this long has stalled. A lost packet is sent
+# again sooner.
+STALL_S = 0.5
 _RATE_WINDOW_S = 5.0
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
--- a/tests/properties/test_repeats.py
+++ b/tests/properties/test_repeats.py
@@ -99,7 +99,7 @@
         self._server.attempts.append(attempt)
         request_id = f"{attempt.name}{self._served[attempt.name]}"
         answer = await self._pool.exchange(
-            f"GET /{number} {request_id} HTTP/1.1\r\n\r\n".encode(),
+            (f"GET /{number} {request_id} HTTP/1.1\r\n\r\n".encode(),),
             lambda found: found.header("request-id") == request_id,
             _LIMIT_BYTES,
             False,
--- a/tests/properties/test_whole_answers.py
+++ b/tests/properties/test_whole_answers.py
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self.aborted = False
 
-    def write(self, data: bytes) -> None:
+    def writelines(self, data: tuple[bytes, ...]) -> None:
         pass
 
     def abort(self) -> None:
@@ -170,7 +170,7 @@
         connection = self._usable_connection()
         exchange = asyncio.create_task(
             connection.exchange(
-                b"GET / HTTP/1.1\r\n\r\n",
+                (b"GET / HTTP/1.1\r\n\r\n",),
                 lambda answer: answer.header("request-id") == f"r{number}",
                 _LIMIT_BYTES,
                 _TIMEOUT_S,
--- a/tests/unit/test_answer_memory.py
+++ b/tests/unit/test_answer_memory.py
@@ -11,7 +11,7 @@
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
 
-_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+_REQUEST = (b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",)
 _LIMIT_BYTES = 4_000_000
 _CAPACITY_BYTES = 1_000_000
 _TIMEOUT_S = 10.0
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -10,7 +10,7 @@
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
 
-_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+_REQUEST = (b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",)
 _LIMIT_BYTES = 4_000_000
 _TIMEOUT_S = 2.0
 # What a node may read before it gives up, besides a body within its limit:
--- a/tests/unit/test_large_bodies.py
+++ b/tests/unit/test_large_bodies.py
@@ -62,7 +62,6 @@
 def test_large_bodies_are_written_without_a_copy():
     body = bytearray(_BODY_BYTES)
     request = http_messages.encode_request("POST", "/", "a", (), body)
-    assert isinstance(request, tuple)
     assert request[1] is body
     answer = bytes(_BODY_BYTES)
     parts = messages.encode(messages.Response(200, (), answer), False, False)
@@ -71,7 +70,7 @@
 
 def test_small_bodies_are_written_with_their_head():
     request = http_messages.encode_request("POST", "/", "a", (), b"small")
-    assert isinstance(request, bytes)
-    assert request.endswith(b"\r\n\r\nsmall")
+    assert len(request) == 1
+    assert bytes(request[0]).endswith(b"\r\n\r\nsmall")
     response = messages.Response(200, (), b"small")
     assert len(messages.encode(response, False, False)) == 1
--- a/tests/unit/test_repeats.py
+++ b/tests/unit/test_repeats.py
@@ -11,7 +11,7 @@
 from burdockfront_client import pool as pool_lib
 from tests import scripted_server
 
-_REQUEST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
+_REQUEST = (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n",)
 _LIMIT_BYTES = 10_000
 _TIMEOUT_S = 5.0
 
