Bound the answers that callers have not taken

Cause: answers that are being received have a limit, whole ones in the buffers of their connections have none.

Change: connections whose callers are behind by more than 64 KB are known to the node, and their unsent bytes have a limit that follows from the memory in the settings. Above it the one that has been behind for longest is ended, counted (ports.answers_given_up) and logged: a caller that reads fast is never behind for long. Beside it the share of request bodies is an eighth for each port, so that all limits and a process at rest fit into a VM of 200 MB.

The new test fails before (nothing was given up).

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -20,6 +20,7 @@
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import store_link
 from burdockfront_node.internal import http_connection
+from burdockfront_node.internal import unsent_answers
 
 _KIB = 1024
 # Gauge value of an unknown age.
@@ -42,6 +43,7 @@
         store: Source of metrics of the store, if there is one.
         ports: Counters of this node's ports.
         bodies: The memory for large request bodies, by port.
+        unsent: The memory for answers that their callers have not taken.
 
     Attributes:
         control_cost: Cost of control traffic.
@@ -57,6 +59,7 @@
         store: store_link.StoreLink | None,
         ports: http_connection.PortCounters,
         bodies: Mapping[str, body_budget.BodyBudget],
+        unsent: unsent_answers.UnsentAnswers,
     ):
         self._settings = settings
         self._node_id = node_id
@@ -66,6 +69,7 @@
         self._store = store
         self._ports = ports
         self._bodies = bodies
+        self._unsent = unsent
         self.control_cost = control_cost.ControlCost(exchange.link, store)
         self._sent: dict[str, int] = {}
 
@@ -80,6 +84,7 @@
             found[f"guard.{name}"] = value
         for name, value in dataclasses.asdict(self._ports).items():
             found[f"ports.{name}"] = value
+        found["ports.answers_given_up"] = self._unsent.given_up
         for port, bodies in self._bodies.items():
             found[f"bodies.{port}.waited"] = bodies.waited
             found[f"bodies.{port}.given_up"] = bodies.given_up
@@ -113,6 +118,7 @@
             bodies[f"bodies.{port}.waiting"] = budget.waiting
         return {
             **bodies,
+            "ports.unsent_bytes": self._unsent.used_bytes,
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
             "guard.limit_per_s": limit_per_s,
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -49,6 +49,7 @@
 from burdockfront_node.internal import http_connection
 from burdockfront_node.internal import http_port
 from burdockfront_node.internal import supervision
+from burdockfront_node.internal import unsent_answers
 
 _LOG = logging.getLogger(__name__)
 _STOP_POLL_S = 0.05
@@ -223,6 +224,9 @@
         # that node's bodies from this one, or both would wait for each other.
         self._caller_bodies = self._new_body_budget()
         self._node_bodies = self._new_body_budget()
+        self._unsent_answers = unsent_answers.UnsentAnswers(
+            settings.unsent_answers_bytes
+        )
         self._metrics = metrics_lib.Metrics(
             settings.statsd,
             settings.node_id,
@@ -232,6 +236,7 @@
             self._store_link,
             self._port_counters,
             {"callers": self._caller_bodies, "nodes": self._node_bodies},
+            self._unsent_answers,
         )
         self._housekeeping = housekeeping_lib.Housekeeping(
             self._guard,
@@ -306,6 +311,7 @@
                 self._settings.caller_address,
                 counters=self._port_counters,
                 bodies=self._caller_bodies,
+                unsent=self._unsent_answers,
             ),
             self._internal_port(),
         ]
@@ -323,6 +329,7 @@
             self._settings.internal_address,
             counters=self._port_counters,
             bodies=self._node_bodies,
+            unsent=self._unsent_answers,
         )
 
     def _internal_application(self) -> internal_app.applications.Starlette:
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -21,6 +21,7 @@
 from burdockfront_client import sockets
 from burdockfront_node.internal import body_room
 from burdockfront_node.internal import messages
+from burdockfront_node.internal import unsent_answers
 
 _LOG = logging.getLogger(__name__)
 # Limit on the requests of one connection that are read and not yet answered.
@@ -111,6 +112,7 @@
         limits_of: Returns the limits on callers' requests now in effect.
         counters: Counters that the ports of a node share.
         bodies: The memory for large request bodies.
+        unsent: The memory for answers that their callers have not taken.
         connections: Open connections.
     """
 
@@ -120,6 +122,9 @@
     bodies: body_budget.BodyBudget = dataclasses.field(
         default_factory=body_budget.BodyBudget
     )
+    unsent: unsent_answers.UnsentAnswers = dataclasses.field(
+        default_factory=unsent_answers.UnsentAnswers
+    )
     connections: "set[Connection]" = dataclasses.field(default_factory=set)
 
 
@@ -133,11 +138,6 @@
     response: messages.Response | None = None
     is_rejected: bool = False
 
-    def release_body(self) -> None:
-        """Frees the room of a large body, unless it has other users."""
-        if self.request.hold is not None:
-            self.request.hold.release()
-
 
 class Connection(asyncio.Protocol):
     """One connection of a caller.
@@ -205,6 +205,7 @@
         """
         self._accepts_requests = False
         self._port.connections.discard(self)
+        self._port.unsent.remove(self)
         self._stop_read_timer()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
@@ -236,10 +237,12 @@
         """Pauses reading while the caller does not read its responses."""
         self._writable = False
         self._update_reading()
+        self._port.unsent.add(self)
 
     def resume_writing(self) -> None:
         """Resumes reading."""
         self._writable = True
+        self._port.unsent.remove(self)
         self._update_reading()
 
     # ---- parser ----------------------------------------------------------
@@ -379,7 +382,8 @@
             return
         while pending and pending[0].response is not None:
             queued = pending.popleft()
-            queued.release_body()
+            if queued.request.hold is not None:
+                queued.request.hold.release()
             if not self._write_response(queued):
                 if queued.is_rejected:
                     self._linger()
@@ -405,6 +409,8 @@
             closes = True
         head_only = queued.request.method == "HEAD"
         self._transport.writelines(messages.encode(response, head_only, closes))
+        if not self._writable:
+            self._port.unsent.check()
         return not closes
 
     def _refuse(self, error: errors.InvalidInputError) -> None:
@@ -587,6 +593,17 @@
             "a caller took nothing of its answers; its connection is ended",
             extra={"unsent_bytes": unsent_bytes, "waited_s": time_s},
         )
+        self._abort()
+
+    def give_up_answers(self) -> None:
+        """See `unsent_answers.Writer`."""
+        _LOG.warning(
+            "unsent answers exceed their memory; the oldest is given up",
+            extra={"unsent_bytes": self.unsent_bytes},
+        )
+        self._abort()
+
+    def _abort(self) -> None:
         self._accepts_requests = False
         if self._transport is not None:
             self._transport.abort()
@@ -618,7 +635,8 @@
         for queued in self._pending:
             if queued.task is not None and queued.task is not current:
                 queued.task.cancel()
-            queued.release_body()
+            if queued.request.hold is not None:
+                queued.request.hold.release()
         self._pending.clear()
 
 
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -21,6 +21,7 @@
 from burdockfront import errors
 from burdockfront import routes
 from burdockfront_node.internal import http_connection
+from burdockfront_node.internal import unsent_answers
 
 _BACKLOG = 1024
 
@@ -35,6 +36,8 @@
             default those of `routes.CallerLimits`.
         counters: Counters that the ports of a node share; by default its own.
         bodies: The memory for large request bodies; by default a usual size.
+        unsent: The memory for answers that callers have not taken; by default a
+            usual size.
     """
 
     def __init__(
@@ -44,12 +47,14 @@
         limits_of: http_connection.LimitsOf = routes.CallerLimits,
         counters: http_connection.PortCounters | None = None,
         bodies: body_budget.BodyBudget | None = None,
+        unsent: unsent_answers.UnsentAnswers | None = None,
     ):
         self._port = http_connection.PortState(
             handler,
             limits_of,
             counters or http_connection.PortCounters(),
             bodies or body_budget.BodyBudget(),
+            unsent or unsent_answers.UnsentAnswers(),
         )
         self._address = address
         self._server: asyncio.Server | None = None
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -339,6 +339,7 @@
                 lambda: self._resolver.limits,
                 self._port_counters,
                 self._caller_bodies,
+                self._unsent_answers,
             ),
             self._internal_port(),
             servers.Listener(
--- a/packages/burdockfront-node/src/burdockfront_node/settings.py
+++ b/packages/burdockfront-node/src/burdockfront_node/settings.py
@@ -16,14 +16,16 @@
 from burdockfront import policy
 from burdockfront_client import answer_memory
 from burdockfront_node import yaml_lines
+from burdockfront_node.internal import unsent_answers
 
 _BYTES_PER_MB = 1_000_000
 # Shares of the memory that a node may use. What they leave is for the process
-# at rest, the ledger, and answers that are being sent.
+# at rest, and for the entries of the ledger.
 _INCOMPLETE_ANSWERS_SHARE = 0.125
 _KEPT_ANSWERS_SHARE = 0.05
+_UNSENT_ANSWERS_SHARE = 0.25
 # At each of the two ports that take requests.
-_REQUEST_BODIES_SHARE = 0.2
+_REQUEST_BODIES_SHARE = 0.125
 # Limit on a single body, which may exceed the share while there is no other.
 _LARGEST_BODY_SHARE = 0.4
 
@@ -187,6 +189,13 @@
             return ledger.DEFAULT_ANSWERS_BYTES
         return round(self.memory_mb * _BYTES_PER_MB * _KEPT_ANSWERS_SHARE)
 
+    @property
+    def unsent_answers_bytes(self) -> int:
+        """Limit on the answers that their callers have not taken."""
+        if not self.memory_mb:
+            return unsent_answers.DEFAULT_CAPACITY_BYTES
+        return round(self.memory_mb * _BYTES_PER_MB * _UNSENT_ANSWERS_SHARE)
+
     @property
     def request_bodies_bytes(self) -> int:
         """Limit on the large request bodies of one port, all together."""
--- a/tests/unit/test_unread_answers.py
+++ b/tests/unit/test_unread_answers.py
@@ -1,6 +1,7 @@
 """Peers that take no bytes for a while, at the sockets of this process."""
 
 import asyncio
+import contextlib
 import socket
 
 from burdockfront import routes
@@ -10,6 +11,7 @@
 from burdockfront_node.internal import http_connection
 from burdockfront_node.internal import http_port
 from burdockfront_node.internal import messages
+from burdockfront_node.internal import unsent_answers
 
 _IDLE_TIMEOUT_S = 0.2
 _LARGE_BYTES = 12_000_000
@@ -87,10 +89,47 @@
         port = server.sockets[0].getsockname()[1]
         pool = pool_lib.Pool(f"127.0.0.1:{port}")
         answer = await pool.exchange(
-            bytes(_LARGE_BYTES), lambda _: True, 1_000, False, 20.0
+            (bytes(_LARGE_BYTES),), lambda _: True, 1_000, False, 20.0
         )
         pool.close_idle()
         server.close()
         return answer.status
 
     assert asyncio.run(scenario()) == 200
+
+
+def test_oldest_unsent_answer_is_given_up_for_the_memory_of_all():
+    """Guards against a process killed for answers that nobody reads."""
+
+    async def scenario() -> None:
+        unsent = unsent_answers.UnsentAnswers(2 * _LARGE_BYTES)
+        number = ports.free_ports(1)[0]
+        port = http_port.Port(
+            _LargeAnswers(), f"127.0.0.1:{number}", unsent=unsent
+        )
+        await port.open()
+        callers = []
+        for _ in range(5):
+            caller = socket.create_connection(("127.0.0.1", number))
+            caller.sendall(_REQUEST)
+            callers.append(caller)
+            await asyncio.sleep(0.1)
+        assert unsent.used_bytes <= 2 * _LARGE_BYTES
+        whole = [await asyncio.to_thread(_read_all, c) for c in callers]
+        assert whole == sorted(whole), "the oldest are given up first"
+        assert whole.count(False) == unsent.given_up > 0
+        assert whole[-1]
+        port.close()
+
+    asyncio.run(scenario())
+
+
+def _read_all(caller: socket.socket) -> bool:
+    """Reads one answer; returns whether it was whole."""
+    caller.settimeout(10.0)
+    received = 0
+    with contextlib.suppress(ConnectionError):
+        while received < _LARGE_BYTES and (piece := caller.recv(1_000_000)):
+            received += len(piece)
+    caller.close()
+    return received >= _LARGE_BYTES
