--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -19,7 +19,7 @@
 from burdockfront_node.controllers import control_cost
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import store_link
-from burdockfront_node.internal import http_connection
+from burdockfront_node.internal import port_state
 from burdockfront_node.internal import unsent_answers
 
 _KIB = 1024
@@ -57,7 +57,7 @@
         guard: guard_lib.Guard,
         exchange: exchange_lib.Exchange,
         store: store_link.StoreLink | None,
-        ports: http_connection.PortCounters,
+        ports: port_state.PortCounters,
         bodies: Mapping[str, body_budget.BodyBudget],
         unsent: unsent_answers.UnsentAnswers,
     ):
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -46,8 +46,8 @@
 from burdockfront_node.filters import chain
 from burdockfront_node.internal import clocks
 from burdockfront_node.internal import event_log
-from burdockfront_node.internal import http_connection
 from burdockfront_node.internal import http_port
+from burdockfront_node.internal import port_state
 from burdockfront_node.internal import supervision
 from burdockfront_node.internal import unsent_answers
 
@@ -219,7 +219,7 @@
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
-        self._port_counters = http_connection.PortCounters()
+        self._port_counters = port_state.PortCounters()
         # One for each port: a body that waits for the next node must not keep
         # that node's bodies from this one, or both would wait for each other.
         self._caller_bodies = self._new_body_budget()
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -7,21 +7,20 @@
 import collections
 import dataclasses
 import logging
-from collections.abc import Callable
-from typing import Protocol
 from typing import cast
 
 import httptools
 
 from burdockfront import body_budget
 from burdockfront import errors
-from burdockfront import routes
 from burdockfront_client import header_names
 from burdockfront_client import http_messages
 from burdockfront_client import sockets
-from burdockfront_node.internal import body_room
+from burdockfront_node.internal import idle_check
+from burdockfront_node.internal import large_body
 from burdockfront_node.internal import messages
-from burdockfront_node.internal import unsent_answers
+from burdockfront_node.internal import port_state
+from burdockfront_node.internal import request_head
 
 _LOG = logging.getLogger(__name__)
 # Limit on the requests of one connection that are read and not yet answered.
@@ -31,101 +30,6 @@
 _MAX_OPEN_REQUESTS = 32
 # How long a caller has for reading a refusal while it sends.
 _LINGER_S = 2.0
-# Factor by which the room of a body of unknown size grows.
-_GROWTH = 2
-
-
-class _Methods(dict[bytes, str]):
-    """Decoded request methods; the parser accepts only a fixed set of them."""
-
-    def __missing__(self, raw: bytes) -> str:
-        """Returns a decoded method and caches it."""
-        method = raw.decode("latin-1")
-        self[raw] = method
-        return method
-
-
-# Looked up as `_METHODS[raw]`, which costs no function call for a known method.
-_METHODS = _Methods()
-
-LimitsOf = Callable[[], routes.CallerLimits]
-
-
-class Handler(Protocol):
-    """Answers the requests of a port."""
-
-    def body_limit_bytes(self, target: str) -> int:
-        """Returns the maximum body size of a request to a target."""
-
-    def may_overlap(self, request: messages.Request) -> bool:
-        """Whether a request may run while earlier ones are unanswered.
-
-        Allowed only for requests that are safe to repeat: after a response
-        that closes the connection, the caller assumes that its later requests
-        were not read and sends them again.
-        """
-
-    async def serve(self, request: messages.Request) -> messages.Response:
-        """Answers a request; cancelled when the caller disconnects."""
-
-    def body_wait_s(self, head: messages.Request) -> float:
-        """Returns how long a large body may wait for memory.
-
-        Args:
-            head: The request as far as it has been read, without its body.
-        """
-
-    def refuse(
-        self,
-        error: errors.InvalidInputError,
-        head: messages.Request | None = None,
-    ) -> messages.Response:
-        """Returns the response to a request that was not read whole.
-
-        Args:
-            error: Why it is not read further.
-            head: The request without its body, if its head is complete.
-        """
-
-
-@dataclasses.dataclass(slots=True)
-class PortCounters:
-    """Counters of all ports of a node, for metrics.
-
-    Attributes:
-        answers_unread: Connections that were ended as their callers had taken
-            nothing of an answer for too long.
-        bodies_refused: Requests that were refused before their bodies were
-            read: too large, too slow, or no memory for them.
-    """
-
-    answers_unread: int = 0
-    bodies_refused: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class PortState:
-    """State that the connections of a port share.
-
-    Attributes:
-        handler: Answers requests.
-        limits_of: Returns the limits on callers' requests now in effect.
-        counters: Counters that the ports of a node share.
-        bodies: The memory for large request bodies.
-        unsent: The memory for answers that their callers have not taken.
-        connections: Open connections.
-    """
-
-    handler: Handler
-    limits_of: LimitsOf
-    counters: PortCounters = dataclasses.field(default_factory=PortCounters)
-    bodies: body_budget.BodyBudget = dataclasses.field(
-        default_factory=body_budget.BodyBudget
-    )
-    unsent: unsent_answers.UnsentAnswers = dataclasses.field(
-        default_factory=unsent_answers.UnsentAnswers
-    )
-    connections: "set[Connection]" = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -146,7 +50,7 @@
         port: State shared with the other connections of the port.
     """
 
-    def __init__(self, port: PortState):
+    def __init__(self, port: port_state.PortState):
         self._port = port
         self._handler = port.handler
         self._loop = asyncio.get_running_loop()
@@ -171,10 +75,7 @@
         self._head_bytes = 0
         self._head_shares_segment = False
         self._read_timer: asyncio.TimerHandle | None = None
-        self._idle_timer: asyncio.TimerHandle | None = None
-        self._idle_since_s = 0.0
-        # Unsent bytes at the last check.
-        self._unsent_before_bytes = 0
+        self._idle_check = idle_check.IdleCheck(self, port, self._loop)
         # The request that is being read.
         self._url = b""
         self._target = ""
@@ -183,7 +84,7 @@
         self._body_limit_bytes = 0
         # Size at which the body is compared with its limits next.
         self._check_at_bytes = 0
-        self._room: body_room.BodyRoom | None = None
+        self._large_body: large_body.LargeBody | None = None
 
     # ---- asyncio ---------------------------------------------------------
 
@@ -193,8 +94,7 @@
         self._transport = cast(asyncio.Transport, transport)
         sockets.enable_keepalive(transport.get_extra_info("socket"))
         self._port.connections.add(self)
-        self._idle_since_s = self._loop.time()
-        self._schedule_idle_check(self._port.limits_of().idle_timeout_s)
+        self._idle_check.start()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the timers and the requests of this caller.
@@ -207,8 +107,7 @@
         self._port.connections.discard(self)
         self._port.unsent.remove(self)
         self._stop_read_timer()
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
+        self._idle_check.stop()
         self._release_room()
         self._cancel_pending()
 
@@ -228,7 +127,7 @@
             if self._pending:
                 self._pending[-1].keeps_alive = False
         except httptools.HttpParserError:
-            self._reject(_plain(400, "The request is not valid HTTP."))
+            self._reject(request_head.INVALID)
             return
         if self._in_message and self._accepts_requests:
             self._limit_reading()
@@ -281,7 +180,10 @@
         self._check_at_bytes = body_budget.UNRESERVED_BYTES
         if limit_bytes < body_budget.UNRESERVED_BYTES:
             self._check_at_bytes = limit_bytes
-        if self._accepts_requests and self._expects_continue():
+        continues = not self._pending and request_head.expects_continue(
+            self._headers
+        )
+        if self._accepts_requests and continues:
             assert self._transport is not None
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -309,13 +211,14 @@
             self._stop_read_timer()
         parser = self._parser
         request = messages.Request(
-            _METHODS[parser.get_method()],
+            request_head.METHODS[parser.get_method()],
             self._target,
             tuple(self._headers),
             self._body,
         )
-        if self._room is not None:
-            self._hand_room_to(request)
+        if self._large_body is not None:
+            self._large_body.hand_over_to(request)
+            self._large_body = None
         # The request holds the body; the connection may be idle for long.
         self._body = b""
         keeps_alive = parser.should_keep_alive()
@@ -339,7 +242,7 @@
         """Closes the connection once all requests read are answered."""
         self._closes_when_idle = True
         if not self._pending and not self._in_message:
-            self._close()
+            self.close()
 
     @property
     def requests_open(self) -> int:
@@ -353,6 +256,11 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or is not answered yet."""
+        return bool(self._pending) or self._in_message
+
     def _start_pending(self) -> None:
         """Starts the first request and those that may run concurrently."""
         first = True
@@ -371,7 +279,7 @@
             # It is unknown how far the request got. Closing the connection
             # without a response makes no claim about that.
             _LOG.exception("a request failed; its connection is closed")
-            self._close()
+            self.close()
             return
         self._write_responses()
 
@@ -388,12 +296,12 @@
                 if queued.is_rejected:
                     self._linger()
                 else:
-                    self._close()
+                    self.close()
                 return
         if pending:
             self._start_pending()
         else:
-            self._idle_since_s = self._loop.time()
+            self._idle_check.idle_since_s = self._loop.time()
         if self._reading_paused:
             self._update_reading()
 
@@ -440,70 +348,49 @@
     # ---- reading ---------------------------------------------------------
 
     def _check_head_size(self) -> None:
-        size_bytes = len(self._url) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
+        size_bytes = request_head.size_bytes(self._url, self._headers)
         if size_bytes > self._port.limits_of().header_bytes:
-            self._reject(_plain(431, "The request headers are too large."))
+            self._reject(request_head.TOO_LARGE)
 
     def _head(self) -> messages.Request:
         """Returns the request that is being read, without its body."""
-        method = _METHODS[self._parser.get_method()]
+        method = request_head.METHODS[self._parser.get_method()]
         return messages.Request(method, self._target, tuple(self._headers), b"")
 
     def _check_body(self) -> None:
         """Compares a large body with its limit, and asks for room for it."""
-        size_bytes = len(self._body)
-        limit_bytes = self._body_limit_bytes
-        if limit_bytes > self._port.bodies.largest_bytes:
-            limit_bytes = self._port.bodies.largest_bytes
-        announced_bytes = _announced_length(self._headers)
-        if max(size_bytes, announced_bytes) > limit_bytes:
-            self._refuse(messages.BodyTooLargeError(limit_bytes))
+        try:
+            if self._large_body is None:
+                self._large_body = self._new_large_body()
+            self._check_at_bytes = self._large_body.ask(len(self._body))
+        except messages.BodyTooLargeError as error:
+            self._refuse(error)
             return
-        if self._room is None:
-            self._room = body_room.BodyRoom(
-                self._port.bodies,
-                self._handler.body_wait_s(self._head()),
-                self._resume_body,
-                self._refuse,
-            )
-        wanted_bytes = announced_bytes
-        if not wanted_bytes:
-            wanted_bytes = min(_GROWTH * size_bytes, limit_bytes)
-        self._check_at_bytes = wanted_bytes
-        self._room.ask(wanted_bytes)
-        if self._room is not None and self._room.waits:
+        if self._large_body is not None and self._large_body.waits:
             self._stop_read_timer()
             self._update_reading()
 
+    def _new_large_body(self) -> large_body.LargeBody:
+        head = self._head()
+        return large_body.LargeBody(
+            self._port.bodies,
+            head,
+            self._body_limit_bytes,
+            self._handler.body_wait_s(head),
+            self._resume_body,
+            self._refuse,
+        )
+
     def _resume_body(self) -> None:
         """Reads on after a wait for room."""
         self._update_reading()
         self._limit_reading()
 
-    def _hand_room_to(self, request: messages.Request) -> None:
-        """Makes the request hold the room of its body."""
-        assert self._room is not None
-        request.hold = self._room.complete(len(request.body))
-        # The caller has waited for its whole request to be read.
-        request.arrived_s -= self._room.waited_s
-        self._room = None
-
     def _release_room(self) -> None:
         """Frees the room of a body that is not read further."""
-        if self._room is not None:
-            room, self._room = self._room, None
-            room.release()
-
-    def _expects_continue(self) -> bool:
-        """Whether the caller waits for 100 Continue before the body."""
-        if self._pending:
-            return False
-        for name, value in self._headers:
-            if name == "expect":
-                return value.lower() == "100-continue"
-        return False
+        if self._large_body is not None:
+            unread, self._large_body = self._large_body, None
+            unread.release()
 
     def _limit_reading(self) -> None:
         """Limits the size and read time of a request that is incomplete.
@@ -511,13 +398,13 @@
         Without these limits, a slow caller or an endless request would hold
         memory for ever.
         """
-        if self._room is not None:
-            if self._room.waits:
+        if self._large_body is not None:
+            if self._large_body.waits:
                 return
-            self._room.on_progress()
+            self._large_body.on_progress()
         limits = self._port.limits_of()
         if self._in_head and self._head_bytes > limits.header_bytes:
-            self._reject(_plain(431, "The request headers are too large."))
+            self._reject(request_head.TOO_LARGE)
         elif self._read_timer is None:
             time_s = limits.header_timeout_s
             if not self._in_head:
@@ -529,7 +416,7 @@
     def _on_read_timeout(self) -> None:
         self._read_timer = None
         if self._in_head:
-            self._reject(_plain(408, "The request headers took too long."))
+            self._reject(request_head.TOO_SLOW)
             return
         limit_s = self._port.limits_of().idle_timeout_s
         self._refuse(messages.BodyTooSlowError(limit_s))
@@ -547,7 +434,7 @@
     def _update_reading(self) -> None:
         """Pauses or resumes reading, by the room for requests and responses."""
         room = self._writable and len(self._pending) < _MAX_OPEN_REQUESTS
-        if self._room is not None and self._room.waits:
+        if self._large_body is not None and self._large_body.waits:
             room = False
         paused = not (self._drops_input or (self._accepts_requests and room))
         if paused == self._reading_paused or self._transport is None:
@@ -558,52 +445,16 @@
         else:
             self._transport.resume_reading()
 
-    def _schedule_idle_check(self, time_s: float) -> None:
-        self._idle_timer = self._loop.call_later(time_s, self._check_idle)
-
-    def _check_idle(self) -> None:
-        """Closes the connection if the idle timeout in effect has passed.
-
-        Otherwise the check is scheduled again for the rest of the timeout. A
-        timer per request would be started and cancelled thousands of times for
-        each one that fires.
-        """
-        idle_timeout_s = self._port.limits_of().idle_timeout_s
-        unsent_bytes = self.unsent_bytes
-        if unsent_bytes and unsent_bytes == self._unsent_before_bytes:
-            self._abort_unread(unsent_bytes, idle_timeout_s)
-            return
-        self._unsent_before_bytes = unsent_bytes
-        if self._pending or self._in_message or unsent_bytes:
-            self._schedule_idle_check(idle_timeout_s)
-            return
-        left_s = self._idle_since_s + idle_timeout_s - self._loop.time()
-        if left_s > 0.0:
-            self._schedule_idle_check(left_s)
-        else:
-            self._close()
-
-    def _abort_unread(self, unsent_bytes: int, time_s: float) -> None:
-        """Ends a connection whose caller takes nothing of its answers.
-
-        The answers would hold memory for as long as the caller lives.
-        """
-        self._port.counters.answers_unread += 1
-        _LOG.warning(
-            "a caller took nothing of its answers; its connection is ended",
-            extra={"unsent_bytes": unsent_bytes, "waited_s": time_s},
-        )
-        self._abort()
-
     def give_up_answers(self) -> None:
         """See `unsent_answers.Writer`."""
         _LOG.warning(
             "unsent answers exceed their memory; the oldest is given up",
             extra={"unsent_bytes": self.unsent_bytes},
         )
-        self._abort()
+        self.abort()
 
-    def _abort(self) -> None:
+    def abort(self) -> None:
+        """Ends the connection at once, with the answers not taken yet."""
         self._accepts_requests = False
         if self._transport is not None:
             self._transport.abort()
@@ -622,7 +473,8 @@
         self._update_reading()
         self._loop.call_later(_LINGER_S, self._transport.close)
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Closes the connection behind the answers written so far."""
         self._accepts_requests = False
         self._body = b""
         self._release_room()
@@ -638,16 +490,3 @@
             if queued.request.hold is not None:
                 queued.request.hold.release()
         self._pending.clear()
-
-
-def _plain(status: int, message: str) -> messages.Response:
-    headers = (("content-type", "text/plain; charset=utf-8"),)
-    return messages.Response(status, headers, message.encode())
-
-
-def _announced_length(headers: list[tuple[str, str]]) -> int:
-    """Returns the Content-Length, which the parser has checked; 0 if none."""
-    for name, value in headers:
-        if name == "content-length":
-            return int(value)
-    return 0
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -21,6 +21,7 @@
 from burdockfront import errors
 from burdockfront import routes
 from burdockfront_node.internal import http_connection
+from burdockfront_node.internal import port_state
 from burdockfront_node.internal import unsent_answers
 
 _BACKLOG = 1024
@@ -42,17 +43,17 @@
 
     def __init__(
         self,
-        handler: http_connection.Handler,
+        handler: port_state.Handler,
         address: str,
-        limits_of: http_connection.LimitsOf = routes.CallerLimits,
-        counters: http_connection.PortCounters | None = None,
+        limits_of: port_state.LimitsOf = routes.CallerLimits,
+        counters: port_state.PortCounters | None = None,
         bodies: body_budget.BodyBudget | None = None,
         unsent: unsent_answers.UnsentAnswers | None = None,
     ):
-        self._port = http_connection.PortState(
+        self._port = port_state.PortState(
             handler,
             limits_of,
-            counters or http_connection.PortCounters(),
+            counters or port_state.PortCounters(),
             bodies or body_budget.BodyBudget(),
             unsent or unsent_answers.UnsentAnswers(),
         )
--- a/packages/burdockfront-node/src/burdockfront_node/internal/body_room.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
@@ -11,15 +11,19 @@
 from burdockfront import body_budget
 from burdockfront_node.internal import messages
 
+# Factor by which the room of a body of unknown size grows.
+_GROWTH = 2
 # Interval at which a body that waits looks for others that have stalled.
 _CHECK_S = 0.1
 
 
-class BodyRoom:
-    """The room of one body.
+class LargeBody:
+    """The room of one body, and its limit.
 
     Args:
         budget: The room of the port.
+        head: The request without its body.
+        limit_bytes: Limit on the body.
         max_wait_s: How long the body may wait for room, in all.
         on_room: Called when reading may go on.
         on_refused: Called with the refusal if it must not.
@@ -28,19 +32,23 @@
     def __init__(
         self,
         budget: body_budget.BodyBudget,
+        head: messages.Request,
+        limit_bytes: int,
         max_wait_s: float,
         on_room: Callable[[], None],
         on_refused: Callable[[messages.NoRoomError], None],
     ):
         self._budget = budget
         self._loop = asyncio.get_running_loop()
+        self._announced_bytes = int(head.header("content-length") or 0)
+        self._limit_bytes = min(limit_bytes, budget.largest_bytes)
         self._left_s = max_wait_s
         self._on_room = on_room
         self._on_refused = on_refused
         self._waits_since_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._wanted_bytes = 0
-        self.waited_s = 0.0
+        self._waited_s = 0.0
         self._reservation = budget.open(
             self._on_granted, self._refuse, self._loop.time()
         )
@@ -50,23 +58,41 @@
         """Whether nothing more may be read for now."""
         return self._reservation.state is body_budget.State.WAITING
 
-    def ask(self, total_bytes: int) -> None:
-        """Asks for room for the whole body, or for a larger part of it."""
+    def ask(self, received_bytes: int) -> int:
+        """Asks for room for the whole body, or for a larger part of it.
+
+        Args:
+            received_bytes: Size of the body so far.
+
+        Returns:
+            The size at which to ask again.
+
+        Raises:
+            BodyTooLargeError: The body is larger than allowed.
+        """
+        if max(received_bytes, self._announced_bytes) > self._limit_bytes:
+            raise messages.BodyTooLargeError(self._limit_bytes)
+        wanted_bytes = self._announced_bytes
+        if not wanted_bytes:
+            wanted_bytes = min(_GROWTH * received_bytes, self._limit_bytes)
         now_s = self._loop.time()
-        self._wanted_bytes = total_bytes
+        self._wanted_bytes = wanted_bytes
         self._waits_since_s = now_s
-        self._budget.ask(self._reservation, total_bytes, now_s)
+        self._budget.ask(self._reservation, wanted_bytes, now_s)
         if self.waits:
             self._schedule_check()
+        return wanted_bytes
 
     def on_progress(self) -> None:
         """Records that bytes of the body have arrived."""
         self._reservation.progressed_s = self._loop.time()
 
-    def complete(self, size_bytes: int) -> "BodyHold":
-        """Records that the body is whole; returns what frees its room."""
-        self._budget.complete(self._reservation, size_bytes)
-        return BodyHold(self._budget, self._reservation)
+    def hand_over_to(self, request: messages.Request) -> None:
+        """Makes the whole request hold the room of its body."""
+        self._budget.complete(self._reservation, len(request.body))
+        request.hold = BodyHold(self._budget, self._reservation)
+        # The caller has waited for its whole request to be read.
+        request.arrived_s -= self._waited_s
 
     def release(self) -> None:
         """Frees the room of a body that is not read further."""
@@ -103,7 +129,7 @@
     def _end_wait(self) -> None:
         self._stop_timer()
         waited_s = self._loop.time() - self._waits_since_s
-        self.waited_s += waited_s
+        self._waited_s += waited_s
         self._left_s -= waited_s
 
     def _stop_timer(self) -> None:
--- a/tests/unit/test_unread_answers.py
+++ b/tests/unit/test_unread_answers.py
@@ -8,9 +8,9 @@
 from burdockfront_bench import ports
 from burdockfront_bench.standins import plain_handler
 from burdockfront_client import pool as pool_lib
-from burdockfront_node.internal import http_connection
 from burdockfront_node.internal import http_port
 from burdockfront_node.internal import messages
+from burdockfront_node.internal import port_state
 from burdockfront_node.internal import unsent_answers
 
 _IDLE_TIMEOUT_S = 0.2
@@ -33,7 +33,7 @@
     """Guards against answers that hold memory for as long as a caller lives."""
 
     async def scenario() -> None:
-        counters = http_connection.PortCounters()
+        counters = port_state.PortCounters()
         address = f"127.0.0.1:{ports.free_ports(1)[0]}"
         port = http_port.Port(_LargeAnswers(), address, _limits, counters)
         await port.open()
@@ -53,7 +53,7 @@
     """Guards against an end of connections that do make progress."""
 
     async def scenario() -> int:
-        counters = http_connection.PortCounters()
+        counters = port_state.PortCounters()
         address = f"127.0.0.1:{ports.free_ports(1)[0]}"
         port = http_port.Port(_LargeAnswers(), address, _limits, counters)
         await port.open()
