Serve a body that ends while it waits for room

What callers saw: 400, that their request is not valid HTTP, for a body of 64 KB or more whose last bytes arrive together with those at which it must wait.

Reading is paused then, but the bytes that were read last go through the parser to their end: the body may grow, or be whole. An assertion failed within the parser.

Change: a body may grow, and end, while it waits. A whole one is in memory already, so it gets room beyond the capacity, up to twice of it; beyond that it is refused like the others.

The new test failed before: 400.

--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -217,8 +217,13 @@
             self._body,
         )
         if self._large_body is not None:
-            self._large_body.hand_over_to(request)
+            try:
+                self._large_body.hand_over_to(request)
+            except messages.NoRoomError as error:
+                self._refuse(error)
+                return
             self._large_body = None
+            self._update_reading()
         # The request holds the body; the connection may be idle for long.
         self._body = b""
         keeps_alive = parser.should_keep_alive()
--- a/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
@@ -88,8 +88,14 @@
         self._reservation.progressed_s = self._loop.time()
 
     def hand_over_to(self, request: messages.Request) -> None:
-        """Makes the whole request hold the room of its body."""
-        self._budget.complete(self._reservation, len(request.body))
+        """Makes the whole request hold the room of its body.
+
+        Raises:
+            NoRoomError: There is no room for it.
+        """
+        if not self._budget.complete(self._reservation, len(request.body)):
+            raise self._no_room()
+        self._stop_timer()
         request.hold = BodyHold(self._budget, self._reservation)
         # The caller has waited for its whole request to be read.
         request.arrived_s -= self._waited_s
@@ -104,10 +110,14 @@
         self._on_room()
 
     def _refuse(self) -> None:
-        now_s = self._loop.time()
         self._stop_timer()
-        retry_after_s = self._budget.retry_after_s(self._wanted_bytes, now_s)
-        self._on_refused(messages.NoRoomError(retry_after_s))
+        self._on_refused(self._no_room())
+
+    def _no_room(self) -> messages.NoRoomError:
+        now_s = self._loop.time()
+        return messages.NoRoomError(
+            self._budget.retry_after_s(self._wanted_bytes, now_s)
+        )
 
     def _schedule_check(self) -> None:
         self._timer = self._loop.call_later(
--- a/packages/burdockfront/src/burdockfront/body_budget.py
+++ b/packages/burdockfront/src/burdockfront/body_budget.py
@@ -30,6 +30,9 @@
 # A body that receives nothing for this long has stalled. A lost packet is sent
 # again sooner.
 STALL_S = 0.5
+# Limit on all bodies, as a multiple of the capacity, for those that were read
+# before they could wait.
+_MAX_OVERDRAFT = 2
 _RATE_WINDOW_S = 5.0
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
@@ -125,8 +128,11 @@
             is called, possibly before this method returns, unless the
             reservation is released first.
         """
-        assert reservation.state is State.READING
         reservation.wanted_bytes = total_bytes
+        if reservation.state is State.WAITING:
+            # More of the body was received with the bytes that were read last.
+            return False
+        assert reservation.state is State.READING
         if self._may_go_first(reservation) and self._fits(reservation):
             self._grant(reservation, now_s)
             return True
@@ -136,12 +142,24 @@
         self._admit(now_s)
         return False
 
-    def complete(self, reservation: Reservation, size_bytes: int) -> None:
-        """Records that a body has been read, and its size."""
-        assert reservation.state is State.READING
+    def complete(self, reservation: Reservation, size_bytes: int) -> bool:
+        """Records that a body has been read, and its size.
+
+        A body may end within the bytes with which it began to wait. As it has
+        been read, it gets room beyond the capacity, within a limit.
+
+        Returns:
+            Whether the body may be kept; otherwise its request is refused.
+        """
+        used_bytes = self.used_bytes + size_bytes - reservation.held_bytes
+        if reservation.state is State.WAITING:
+            if used_bytes > _MAX_OVERDRAFT * self._capacity_bytes:
+                return False
+            del self._waiting[reservation]
         reservation.state = State.COMPLETE
-        self.used_bytes += size_bytes - reservation.held_bytes
         reservation.held_bytes = size_bytes
+        self.used_bytes = used_bytes
+        return True
 
     def retain(self, reservation: Reservation) -> None:
         """Adds a user of a body."""
--- a/tests/unit/test_large_bodies.py
+++ b/tests/unit/test_large_bodies.py
@@ -3,6 +3,9 @@
 import asyncio
 import tracemalloc
 
+import pytest
+
+from burdockfront import body_budget
 from burdockfront_bench import ports
 from burdockfront_bench.standins import plain_handler
 from burdockfront_client import http_messages
@@ -31,6 +34,11 @@
         return messages.Response(200)
 
 
+class _Echo(plain_handler.PlainHandler):
+    async def serve(self, request: messages.Request) -> messages.Response:
+        return messages.Response(200)
+
+
 def test_upload_is_held_once_and_not_by_an_idle_connection():
     """Guards against bodies that take several times their size."""
 
@@ -74,3 +82,41 @@
     assert bytes(request[0]).endswith(b"\r\n\r\nsmall")
     response = messages.Response(200, (), b"small")
     assert len(messages.encode(response, False, False)) == 1
+
+
+def _in_chunks(body: bytes) -> bytes:
+    pieces = [
+        body[start : start + 10_000] for start in range(0, len(body), 10_000)
+    ]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in pieces)
+    head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+    return head + chunks + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_body_that_ends_while_it_waits_is_served(chunked: bool):
+    """Guards against a refusal of a body that was read before it could wait."""
+
+    async def scenario() -> None:
+        port_number = ports.free_ports(1)[0]
+        bodies = body_budget.BodyBudget(capacity_bytes=200_000)
+        port = http_port.Port(
+            _Echo(), f"127.0.0.1:{port_number}", bodies=bodies
+        )
+        await port.open()
+        first = bodies.open(lambda: None, lambda: None, 0.0)
+        bodies.ask(first, 190_000, 0.0)
+        bodies.complete(first, 190_000)
+        body = b"x" * 150_000
+        request = _in_chunks(body) if chunked else _HEAD % len(body) + body
+        reader, writer = await asyncio.open_connection("127.0.0.1", port_number)
+        for _ in range(2):
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+        assert bodies.waited > 0
+        assert bodies.used_bytes == 190_000, "the others are free again"
+        writer.close()
+        port.close()
+
+    asyncio.run(scenario())
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -7,6 +7,9 @@
 from burdockfront_node import backend
 from burdockfront_node import settings
 
+# A node with 940 members; see docs/CAPACITY.md.
+_AT_REST_BYTES = 60_000_000
+
 
 def _document(**changes):
     document = {
@@ -37,6 +40,19 @@
     assert found.incomplete_answers_bytes == limit_bytes
 
 
+@pytest.mark.parametrize("memory_mb", [200, 300, 552])
+def test_limits_together_leave_room_for_a_node_at_rest(memory_mb):
+    """Guards against limits that only hold one by one."""
+    found = settings.parse(_document(memory_mb=memory_mb), "x")
+    together_bytes = (
+        found.incomplete_answers_bytes
+        + 2 * found.request_bodies_bytes
+        + found.unsent_answers_bytes
+        + found.kept_answers_bytes
+    )
+    assert together_bytes + _AT_REST_BYTES <= memory_mb * 1_000_000
+
+
 @pytest.mark.parametrize(
     ("changes", "message"),
     [
