One timer for a body that grows while it waits; admit each body once

Both found by reading. A body that asked for more room while it waited started a second timer and lost the time that it had waited. A callback that frees room while others are admitted might have admitted one of them twice; no run showed it.

--- a/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
@@ -76,10 +76,11 @@
         if not wanted_bytes:
             wanted_bytes = min(_GROWTH * received_bytes, self._limit_bytes)
         now_s = self._loop.time()
+        waited = self.waits
         self._wanted_bytes = wanted_bytes
-        self._waits_since_s = now_s
         self._budget.ask(self._reservation, wanted_bytes, now_s)
-        if self.waits:
+        if self.waits and not waited:
+            self._waits_since_s = now_s
             self._schedule_check()
         return wanted_bytes
 
--- a/packages/burdockfront/src/burdockfront/body_budget.py
+++ b/packages/burdockfront/src/burdockfront/body_budget.py
@@ -236,6 +236,9 @@
         in_part = [other for other in self._waiting if other.held_bytes]
         unread = [other for other in self._waiting if not other.held_bytes]
         for reservation in (*in_part, *unread):
+            if reservation not in self._waiting:
+                # Admitted or released by a callback of one before it.
+                continue
             if not self._fits(reservation):
                 return
             del self._waiting[reservation]
