Soak: large uploads and slow readers; refuse nothing for good without a table

The soak draws two kinds more: callers that send confirmations whose bodies together exceed their memory, sized and in chunks, and callers that read large answers slowly. Both are regular use, so that nothing of it may be lost beside planned operations. Its nodes state a memory of 20 MB, so that a few megabytes reach the limits that follow from it.

What callers saw: 413 for a body that operators allow, at a node that has just started; no caller repeats after that. Cause: without a table of routes the limits of a default table were in force, a body of 1 MB and heads of 16 KB. Now such a node reads the request, within its memory, and answers 503 as it does for others.

--- a/packages/burdockfront/src/burdockfront/routes.py
+++ b/packages/burdockfront/src/burdockfront/routes.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import random
+import sys
 from typing import Annotated
 from typing import Any
 
@@ -86,6 +87,14 @@
     idle_timeout_s: float = 15.0
 
 
+# Until a table is known, what operators allow is not known either. A request
+# that they allow must not be refused for good, so it is read, and refused for
+# the missing table.
+_LIMITS_WITHOUT_TABLE = CallerLimits(
+    header_bytes=65_536, body_bytes=sys.maxsize
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HealthPath:
     """Path of the health check of a service's backend servers."""
@@ -177,7 +186,7 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self.limits = CallerLimits()
+        self.limits = _LIMITS_WITHOUT_TABLE
         self.accounts = accounts_lib.AccountIndex()
         self._table: RouteTable | None = None
         self._services: frozenset[str] = frozenset()
