Keep the loss of an answer in the ledger, and one large answer from the rest

A lost answer is as small as a fact, and kept like one; an answer that never fits is not kept. Both tests fail without the change.

--- a/packages/burdockfront/src/burdockfront/ledger.py
+++ b/packages/burdockfront/src/burdockfront/ledger.py
@@ -180,8 +180,15 @@
             "only a ticket that was handed over has an answer"
         )
         entry.finished = True
-        entry.answer = answer
+        if answer.outcome is not outcomes.Outcome.DONE:
+            # That an answer was lost is a fact, and as small as one.
+            entry.answer = answer
+            return
         size_bytes = _size_of(answer)
+        if size_bytes > self._answers_capacity_bytes:
+            self.answers_forgotten += 1
+            return
+        entry.answer = answer
         self._answer_sizes[nonce] = size_bytes
         self._answers_bytes += size_bytes
         while self._answers_bytes > self._answers_capacity_bytes:
--- a/tests/properties/test_at_most_once.py
+++ b/tests/properties/test_at_most_once.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from burdockfront import ledger
+from burdockfront import outcomes
 from tests import builders
 
 _NONCES = [f"t{n}" for n in range(4)]
@@ -162,3 +163,27 @@
     assert owner.begin(first, 0.0).decision is ledger.Decision.FORGOTTEN
     assert owner.begin(second, 0.0).decision is ledger.Decision.REPLAY
     assert owner.answers_forgotten == 1
+
+
+def test_one_large_answer_costs_the_others_nothing():
+    owner = ledger.Ledger("n1", "b1", answers_bytes=2_000)
+    small, large = builders.a_ticket("small"), builders.a_ticket("large")
+    for ticket, body in ((small, b"x"), (large, b"x" * 3_000)):
+        owner.begin(ticket, 0.0)
+        owner.hand_over(ticket.nonce)
+        owner.finish(ticket.nonce, builders.an_answer(body))
+    assert owner.begin(small, 0.0).decision is ledger.Decision.REPLAY
+    assert owner.begin(large, 0.0).decision is ledger.Decision.FORGOTTEN
+
+
+def test_lost_answer_is_never_forgotten():
+    """Guards against a look-up that says done where nobody knows."""
+    owner = ledger.Ledger("n1", "b1", answers_bytes=100)
+    ticket = builders.a_ticket()
+    owner.begin(ticket, 0.0)
+    owner.hand_over(ticket.nonce)
+    lost = outcomes.unknown(outcomes.Reason.LOST_ANSWER)
+    owner.finish(ticket.nonce, lost)
+    verdict = owner.begin(ticket, 0.0)
+    assert verdict.decision is ledger.Decision.REPLAY
+    assert verdict.answer is lost
