Hold the memory of a node's ports in one object

The ports, the metrics and both daemons took counters, bodies and unsent answers one by one. NodeMemory makes them from the settings and names their metrics. No change of behaviour.

--- a/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
+++ b/packages/burdockfront-node/src/burdockfront_node/controllers/metrics.py
@@ -8,19 +8,16 @@
 import asyncio
 import dataclasses
 import resource
-from collections.abc import Mapping
 
 import statsd
 
-from burdockfront import body_budget
 from burdockfront_client import dispatcher as dispatcher_lib
 from burdockfront_node import guard as guard_lib
+from burdockfront_node import node_memory
 from burdockfront_node import settings as settings_lib
 from burdockfront_node.controllers import control_cost
 from burdockfront_node.controllers import exchange as exchange_lib
 from burdockfront_node.controllers import store_link
-from burdockfront_node.internal import port_state
-from burdockfront_node.internal import unsent_answers
 
 _KIB = 1024
 # Gauge value of an unknown age.
@@ -41,9 +38,7 @@
         guard: Source of the guard's counters and gauges.
         exchange: Source of metrics of gossip and members.
         store: Source of metrics of the store, if there is one.
-        ports: Counters of this node's ports.
-        bodies: The memory for large request bodies, by port.
-        unsent: The memory for answers that their callers have not taken.
+        memory: The memory of this node's ports.
 
     Attributes:
         control_cost: Cost of control traffic.
@@ -57,9 +52,7 @@
         guard: guard_lib.Guard,
         exchange: exchange_lib.Exchange,
         store: store_link.StoreLink | None,
-        ports: port_state.PortCounters,
-        bodies: Mapping[str, body_budget.BodyBudget],
-        unsent: unsent_answers.UnsentAnswers,
+        memory: node_memory.NodeMemory,
     ):
         self._settings = settings
         self._node_id = node_id
@@ -67,9 +60,7 @@
         self._guard = guard
         self._exchange = exchange
         self._store = store
-        self._ports = ports
-        self._bodies = bodies
-        self._unsent = unsent
+        self._memory = memory
         self.control_cost = control_cost.ControlCost(exchange.link, store)
         self._sent: dict[str, int] = {}
 
@@ -82,12 +73,7 @@
             found[f"router.{name}"] = value
         for name, value in self._guard.counters().items():
             found[f"guard.{name}"] = value
-        for name, value in dataclasses.asdict(self._ports).items():
-            found[f"ports.{name}"] = value
-        found["ports.answers_given_up"] = self._unsent.given_up
-        for port, bodies in self._bodies.items():
-            found[f"bodies.{port}.waited"] = bodies.waited
-            found[f"bodies.{port}.given_up"] = bodies.given_up
+        found.update(self._memory.counters())
         exchange = self._exchange
         found["exchange.messages"] = exchange.link.messages
         found["exchange.sent_bytes"] = exchange.link.sent_bytes
@@ -112,13 +98,8 @@
         if limit_per_s is None:
             limit_per_s = _NO_LIMIT
         load = self._guard.latest_load()
-        bodies: dict[str, float] = {}
-        for port, budget in self._bodies.items():
-            bodies[f"bodies.{port}.used_bytes"] = budget.used_bytes
-            bodies[f"bodies.{port}.waiting"] = budget.waiting
         return {
-            **bodies,
-            "ports.unsent_bytes": self._unsent.used_bytes,
+            **self._memory.gauges(),
             "guard.in_flight": self._guard.in_flight,
             "guard.level": self._guard.level(),
             "guard.limit_per_s": limit_per_s,
--- a/packages/burdockfront-node/src/burdockfront_node/daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/daemon.py
@@ -9,7 +9,6 @@
 import time
 
 from burdockfront import allowance as allowance_lib
-from burdockfront import body_budget
 from burdockfront import configuration as configuration_lib
 from burdockfront import freshness
 from burdockfront import keyring as keyring_lib
@@ -29,6 +28,7 @@
 from burdockfront_node import internal_app
 from burdockfront_node import internal_handlers
 from burdockfront_node import lineage as lineage_lib
+from burdockfront_node import node_memory
 from burdockfront_node import quarantine as quarantine_lib
 from burdockfront_node import settings as settings_lib
 from burdockfront_node import ticket_status
@@ -47,9 +47,7 @@
 from burdockfront_node.internal import clocks
 from burdockfront_node.internal import event_log
 from burdockfront_node.internal import http_port
-from burdockfront_node.internal import port_state
 from burdockfront_node.internal import supervision
-from burdockfront_node.internal import unsent_answers
 
 _LOG = logging.getLogger(__name__)
 _STOP_POLL_S = 0.05
@@ -219,14 +217,7 @@
         )
         self._dispatcher.sender.local_guard = self._guard.handle
         self._backends = self._new_backends()
-        self._port_counters = port_state.PortCounters()
-        # One for each port: a body that waits for the next node must not keep
-        # that node's bodies from this one, or both would wait for each other.
-        self._caller_bodies = self._new_body_budget()
-        self._node_bodies = self._new_body_budget()
-        self._unsent_answers = unsent_answers.UnsentAnswers(
-            settings.unsent_answers_bytes
-        )
+        self._memory = node_memory.NodeMemory(settings)
         self._metrics = metrics_lib.Metrics(
             settings.statsd,
             settings.node_id,
@@ -234,9 +225,7 @@
             self._guard,
             self._exchange,
             self._store_link,
-            self._port_counters,
-            {"callers": self._caller_bodies, "nodes": self._node_bodies},
-            self._unsent_answers,
+            self._memory,
         )
         self._housekeeping = housekeeping_lib.Housekeeping(
             self._guard,
@@ -250,12 +239,6 @@
             self._guard, self._dispatcher, self._headers
         )
 
-    def _new_body_budget(self) -> body_budget.BodyBudget:
-        return body_budget.BodyBudget(
-            self._settings.request_bodies_bytes,
-            self._settings.largest_body_bytes,
-        )
-
     def _retry_burst(self) -> float:
         """Returns the burst size of this node's retry budget per service."""
         return allowance_lib.DEFAULT_BURST
@@ -309,9 +292,7 @@
             http_port.Port(
                 entry,
                 self._settings.caller_address,
-                counters=self._port_counters,
-                bodies=self._caller_bodies,
-                unsent=self._unsent_answers,
+                memory=self._memory.callers,
             ),
             self._internal_port(),
         ]
@@ -327,9 +308,7 @@
         return http_port.Port(
             handler,
             self._settings.internal_address,
-            counters=self._port_counters,
-            bodies=self._node_bodies,
-            unsent=self._unsent_answers,
+            memory=self._memory.nodes,
         )
 
     def _internal_application(self) -> internal_app.applications.Starlette:
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -105,7 +105,7 @@
         """
         self._accepts_requests = False
         self._port.connections.discard(self)
-        self._port.unsent.remove(self)
+        self._port.memory.unsent.remove(self)
         self._stop_read_timer()
         self._idle_check.stop()
         self._release_room()
@@ -136,12 +136,12 @@
         """Pauses reading while the caller does not read its responses."""
         self._writable = False
         self._update_reading()
-        self._port.unsent.add(self)
+        self._port.memory.unsent.add(self)
 
     def resume_writing(self) -> None:
         """Resumes reading."""
         self._writable = True
-        self._port.unsent.remove(self)
+        self._port.memory.unsent.remove(self)
         self._update_reading()
 
     # ---- parser ----------------------------------------------------------
@@ -323,14 +323,14 @@
         head_only = queued.request.method == "HEAD"
         self._transport.writelines(messages.encode(response, head_only, closes))
         if not self._writable:
-            self._port.unsent.check()
+            self._port.memory.unsent.check()
         return not closes
 
     def _refuse(self, error: errors.InvalidInputError) -> None:
         """Refuses the request that is being read, whose head is complete."""
         if not self._accepts_requests:
             return
-        self._port.counters.bodies_refused += 1
+        self._port.memory.counters.bodies_refused += 1
         _LOG.warning(
             "a request body was refused",
             extra={"why": str(error), "read_bytes": len(self._body)},
@@ -378,7 +378,7 @@
     def _new_large_body(self) -> large_body.LargeBody:
         head = self._head()
         return large_body.LargeBody(
-            self._port.bodies,
+            self._port.memory.bodies,
             head,
             self._body_limit_bytes,
             self._handler.body_wait_s(head),
--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_port.py
@@ -17,12 +17,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from burdockfront import body_budget
 from burdockfront import errors
 from burdockfront import routes
 from burdockfront_node.internal import http_connection
 from burdockfront_node.internal import port_state
-from burdockfront_node.internal import unsent_answers
 
 _BACKLOG = 1024
 
@@ -35,10 +33,7 @@
         address: `ip:port`.
         limits_of: Returns the limits on callers' requests now in effect; by
             default those of `routes.CallerLimits`.
-        counters: Counters that the ports of a node share; by default its own.
-        bodies: The memory for large request bodies; by default a usual size.
-        unsent: The memory for answers that callers have not taken; by default a
-            usual size.
+        memory: What the port may use; by default a usual size.
     """
 
     def __init__(
@@ -46,16 +41,10 @@
         handler: port_state.Handler,
         address: str,
         limits_of: port_state.LimitsOf = routes.CallerLimits,
-        counters: port_state.PortCounters | None = None,
-        bodies: body_budget.BodyBudget | None = None,
-        unsent: unsent_answers.UnsentAnswers | None = None,
+        memory: port_state.PortMemory | None = None,
     ):
         self._port = port_state.PortState(
-            handler,
-            limits_of,
-            counters or port_state.PortCounters(),
-            bodies or body_budget.BodyBudget(),
-            unsent or unsent_answers.UnsentAnswers(),
+            handler, limits_of, memory or port_state.PortMemory()
         )
         self._address = address
         self._server: asyncio.Server | None = None
--- a/packages/burdockfront-node/src/burdockfront_node/internal/idle_check.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/idle_check.py
@@ -90,7 +90,7 @@
 
         The answers would hold memory for as long as the caller lives.
         """
-        self._port.counters.answers_unread += 1
+        self._port.memory.counters.answers_unread += 1
         _LOG.warning(
             "a caller took nothing of its answers; its connection is ended",
             extra={"unsent_bytes": unsent_bytes, "waited_s": time_s},
--- a/packages/burdockfront-node/src/burdockfront_node/internal/port_state.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/port_state.py
@@ -81,25 +81,36 @@
 
 
 @dataclasses.dataclass(slots=True)
-class PortState:
-    """State that the connections of a port share.
+class PortMemory:
+    """The memory that a port may use for others, and what it counts.
 
     Attributes:
-        handler: Answers requests.
-        limits_of: Returns the limits on callers' requests now in effect.
-        counters: Counters that the ports of a node share.
         bodies: The memory for large request bodies.
         unsent: The memory for answers that their callers have not taken.
-        connections: Open connections.
+        counters: Counters that the ports of a node share.
     """
 
-    handler: Handler
-    limits_of: LimitsOf
-    counters: PortCounters = dataclasses.field(default_factory=PortCounters)
     bodies: body_budget.BodyBudget = dataclasses.field(
         default_factory=body_budget.BodyBudget
     )
     unsent: unsent_answers.UnsentAnswers = dataclasses.field(
         default_factory=unsent_answers.UnsentAnswers
     )
+    counters: PortCounters = dataclasses.field(default_factory=PortCounters)
+
+
+@dataclasses.dataclass(slots=True)
+class PortState:
+    """State that the connections of a port share.
+
+    Attributes:
+        handler: Answers requests.
+        limits_of: Returns the limits on callers' requests now in effect.
+        memory: What the port may use.
+        connections: Open connections.
+    """
+
+    handler: Handler
+    limits_of: LimitsOf
+    memory: PortMemory = dataclasses.field(default_factory=PortMemory)
     connections: set[OpenConnection] = dataclasses.field(default_factory=set)
--- a/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
+++ b/packages/burdockfront-node/src/burdockfront_node/routed_daemon.py
@@ -337,9 +337,7 @@
                 entry,
                 settings.caller_address,
                 lambda: self._resolver.limits,
-                self._port_counters,
-                self._caller_bodies,
-                self._unsent_answers,
+                self._memory.callers,
             ),
             self._internal_port(),
             servers.Listener(
--- a/tests/unit/test_large_bodies.py
+++ b/tests/unit/test_large_bodies.py
@@ -11,6 +11,7 @@
 from burdockfront_client import http_messages
 from burdockfront_node.internal import http_port
 from burdockfront_node.internal import messages
+from burdockfront_node.internal import port_state
 
 _BODY_BYTES = 8_000_000
 _HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
@@ -101,7 +102,9 @@
         port_number = ports.free_ports(1)[0]
         bodies = body_budget.BodyBudget(capacity_bytes=200_000)
         port = http_port.Port(
-            _Echo(), f"127.0.0.1:{port_number}", bodies=bodies
+            _Echo(),
+            f"127.0.0.1:{port_number}",
+            memory=port_state.PortMemory(bodies),
         )
         await port.open()
         first = bodies.open(lambda: None, lambda: None, 0.0)
--- a/tests/unit/test_unread_answers.py
+++ b/tests/unit/test_unread_answers.py
@@ -33,14 +33,14 @@
     """Guards against answers that hold memory for as long as a caller lives."""
 
     async def scenario() -> None:
-        counters = port_state.PortCounters()
+        memory = port_state.PortMemory()
         address = f"127.0.0.1:{ports.free_ports(1)[0]}"
-        port = http_port.Port(_LargeAnswers(), address, _limits, counters)
+        port = http_port.Port(_LargeAnswers(), address, _limits, memory)
         await port.open()
         caller = socket.create_connection(("127.0.0.1", int(address[10:])))
         caller.sendall(_REQUEST)
         async with asyncio.timeout(10.0):
-            while not counters.answers_unread:
+            while not memory.counters.answers_unread:
                 await asyncio.sleep(0.01)
         assert port.unsent_bytes == []
         caller.close()
@@ -53,9 +53,9 @@
     """Guards against an end of connections that do make progress."""
 
     async def scenario() -> int:
-        counters = port_state.PortCounters()
+        memory = port_state.PortMemory()
         address = f"127.0.0.1:{ports.free_ports(1)[0]}"
-        port = http_port.Port(_LargeAnswers(), address, _limits, counters)
+        port = http_port.Port(_LargeAnswers(), address, _limits, memory)
         await port.open()
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", int(address[10:])
@@ -68,7 +68,7 @@
             await asyncio.sleep(_IDLE_TIMEOUT_S / 10)
         writer.close()
         port.close()
-        assert counters.answers_unread == 0
+        assert memory.counters.answers_unread == 0
         return received
 
     assert asyncio.run(scenario()) == _LARGE_BYTES
@@ -105,7 +105,9 @@
         unsent = unsent_answers.UnsentAnswers(2 * _LARGE_BYTES)
         number = ports.free_ports(1)[0]
         port = http_port.Port(
-            _LargeAnswers(), f"127.0.0.1:{number}", unsent=unsent
+            _LargeAnswers(),
+            f"127.0.0.1:{number}",
+            memory=port_state.PortMemory(unsent=unsent),
         )
         await port.open()
         callers = []
