Let bodies of unknown size that fit go on, and fewer begin at once

Cause: two rules of the budget differ. The check for a standstill looked for any body in part that fits, and found one; admission went by order and stopped at the first that does not fit.

Change: of the bodies that have been read in part, each one that fits goes on; others begin once none of them waits.

--- a/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/large_body.py
@@ -74,7 +74,10 @@
             raise messages.BodyTooLargeError(self._limit_bytes)
         wanted_bytes = self._announced_bytes
         if not wanted_bytes:
-            wanted_bytes = min(_GROWTH * received_bytes, self._limit_bytes)
+            wanted_bytes = max(
+                _GROWTH * received_bytes, self._budget.first_bytes
+            )
+            wanted_bytes = min(wanted_bytes, self._limit_bytes)
         now_s = self._loop.time()
         waited = self.waits
         self._wanted_bytes = wanted_bytes
--- a/packages/burdockfront/src/burdockfront/body_budget.py
+++ b/packages/burdockfront/src/burdockfront/body_budget.py
@@ -33,6 +33,8 @@
 # Limit on all bodies, as a multiple of the capacity, for those that were read
 # before they could wait.
 _MAX_OVERDRAFT = 2
+# Bodies of unknown size for which there is room at once.
+_UNSIZED_AT_ONCE = 4
 _RATE_WINDOW_S = 5.0
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
@@ -80,6 +82,8 @@
 
     Attributes:
         largest_bytes: The argument of this name.
+        first_bytes: Room that a body of unknown size asks for first. With less,
+            many would be read in part, and most of them given up.
         used_bytes: Bytes that are reserved now.
         waited: Number of bodies so far that had to wait.
         given_up: Number of bodies so far that were given up.
@@ -91,6 +95,7 @@
         largest_bytes: int = DEFAULT_LARGEST_BYTES,
     ):
         self.largest_bytes = largest_bytes
+        self.first_bytes = capacity_bytes // _UNSIZED_AT_ONCE
         self.used_bytes = 0
         self.waited = 0
         self.given_up = 0
@@ -231,19 +236,32 @@
         reservation.state = State.READING
 
     def _admit(self, now_s: float) -> None:
-        """Grants room to those that wait, in their order."""
+        """Grants room to those that wait.
+
+        Of the bodies that have been read in part, each one that fits goes on,
+        as its end frees what it holds; only then do others begin, in order.
+        """
         self._resolve_standstill()
         in_part = [other for other in self._waiting if other.held_bytes]
-        unread = [other for other in self._waiting if not other.held_bytes]
-        for reservation in (*in_part, *unread):
-            if reservation not in self._waiting:
-                # Admitted or released by a callback of one before it.
-                continue
-            if not self._fits(reservation):
+        for reservation in in_part:
+            self._admit_one(reservation, now_s)
+        if any(other.held_bytes for other in self._waiting):
+            return
+        for reservation in list(self._waiting):
+            if not self._admit_one(reservation, now_s):
                 return
-            del self._waiting[reservation]
-            self._grant(reservation, now_s)
-            reservation.on_room()
+
+    def _admit_one(self, reservation: Reservation, now_s: float) -> bool:
+        """Grants room to one that waits; returns whether it no longer waits."""
+        if reservation not in self._waiting:
+            # Admitted or released by a callback of one before it.
+            return True
+        if not self._fits(reservation):
+            return False
+        del self._waiting[reservation]
+        self._grant(reservation, now_s)
+        reservation.on_room()
+        return True
 
     def _resolve_standstill(self) -> None:
         """Gives up the newest bodies while all that hold room wait for more."""
--- a/tests/properties/test_body_budget.py
+++ b/tests/properties/test_body_budget.py
@@ -65,12 +65,23 @@
         self.uploads.append(upload)
         self.budget.ask(upload.reservation, upload.next_bytes, self.now_s)
 
+    @stateful.rule()
+    def read_on_everywhere(self) -> None:
+        for upload in self._in(body_budget.State.READING):
+            self._read_on(upload)
+
     @stateful.precondition(lambda self: self._in(body_budget.State.READING))
     @stateful.rule(data=strategies.data())
     def read_on(self, data: strategies.DataObject) -> None:
         reading = self._in(body_budget.State.READING)
-        upload = data.draw(strategies.sampled_from(reading))
+        self._read_on(data.draw(strategies.sampled_from(reading)))
+
+    def _read_on(self, upload: _Upload) -> None:
+        """Asks for the room that an upload needs next, or completes it."""
         assert upload.reservation is not None
+        if upload.reservation.state is not body_budget.State.READING:
+            # Given up for one that was read on before it.
+            return
         upload.reservation.progressed_s = self.now_s
         if upload.reservation.held_bytes >= upload.size_bytes:
             self.budget.complete(upload.reservation, upload.size_bytes)
