Two function calls less for each request that has no body

The limit on a body is looked up with its first bytes, and Expect is noted while the headers are read.

--- a/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/http_connection.py
@@ -67,6 +67,8 @@
         self._drops_input = False
         self._writable = True
         self._closes_when_idle = False
+        # Whether the caller waits for 100 Continue before the body.
+        self._expects_continue = False
         self._in_message = False
         self._in_head = False
         # Bytes received since the last request, or slightly more. Bytes of a
@@ -152,6 +154,7 @@
         self._target = ""
         self._headers = []
         self._body = b""
+        self._expects_continue = False
         self._in_message = True
         self._in_head = True
 
@@ -162,6 +165,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header."""
         lowered = header_names.LOWERED[name]
+        if lowered == "expect":
+            self._expects_continue = value.lower() == b"100-continue"
         self._headers.append((lowered, value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -175,15 +180,8 @@
             self._check_head_size()
         self._head_bytes = 0
         self._target = self._url.decode("latin-1")
-        limit_bytes = self._handler.body_limit_bytes(self._target)
-        self._body_limit_bytes = limit_bytes
-        self._check_at_bytes = body_budget.UNRESERVED_BYTES
-        if limit_bytes < body_budget.UNRESERVED_BYTES:
-            self._check_at_bytes = limit_bytes
-        continues = not self._pending and request_head.expects_continue(
-            self._headers
-        )
-        if self._accepts_requests and continues:
+        continues = self._expects_continue and not self._pending
+        if continues and self._accepts_requests:
             assert self._transport is not None
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -193,6 +191,11 @@
             return
         if not self._body:
             self._body = body
+            limit_bytes = self._handler.body_limit_bytes(self._target)
+            self._body_limit_bytes = limit_bytes
+            self._check_at_bytes = body_budget.UNRESERVED_BYTES
+            if limit_bytes < body_budget.UNRESERVED_BYTES:
+                self._check_at_bytes = limit_bytes
         else:
             if isinstance(self._body, bytes):
                 self._body = bytearray(self._body)
--- a/packages/burdockfront-node/src/burdockfront_node/internal/request_head.py
+++ b/packages/burdockfront-node/src/burdockfront_node/internal/request_head.py
@@ -30,11 +30,3 @@
 def size_bytes(url: bytes, headers: list[tuple[str, str]]) -> int:
     """Returns the approximate size of a head."""
     return len(url) + sum(len(name) + len(value) + 4 for name, value in headers)
-
-
-def expects_continue(headers: list[tuple[str, str]]) -> bool:
-    """Whether the caller waits for 100 Continue before the body."""
-    for name, value in headers:
-        if name == "expect":
-            return value.lower() == "100-continue"
-    return False
